--- /dev/null
+++ b/core/admit/gate.go
@@ -0,0 +1,246 @@
+package admit
+
+import "time"
+
+const (
+	// queueShare bounds the queue as a share of the concurrency limit, and so
+	// the wait in it as a share of the service time.
+	queueShare = 0.5
+	minQueue   = 4
+	// coldStart is how long a fresh gate takes to open from coldLimit to the
+	// adaptive limit, as a target's caches and pools fill.
+	coldStart = 2 * time.Second
+	coldLimit = 12.0
+	// doomedShare of the usual service time must be left when a call starts.
+	doomedShare = 0.8
+	meanWeight  = 0.05
+)
+
+// Item is one call that asks to run on the local target.
+type Item struct {
+	Call      uint64
+	Workspace string
+	Weight    float64 // the workspace's declared rate
+	Rank      Rank
+	Deadline  time.Time
+}
+
+// Decision is what becomes of an offered call.
+type Decision uint8
+
+// Decisions of Offer.
+const (
+	Refused Decision = iota
+	Admitted
+	Queued
+)
+
+// Stats is a snapshot of the gate.
+type Stats struct {
+	Limit   float64
+	Running int
+	Queued  int
+	Service time.Duration // mean from start to answer
+}
+
+// Gate guards the one local target.
+type Gate struct {
+	limiter
+	shares
+	running int
+	queue   []Item
+	service time.Duration
+	since   time.Time
+}
+
+// NewGate returns an empty gate.
+func NewGate() *Gate {
+	return &Gate{limiter: newLimiter(), shares: newShares()}
+}
+
+// Stats returns a snapshot of the gate.
+func (g *Gate) Stats() Stats {
+	return Stats{Limit: g.limit, Running: g.running, Queued: len(g.queue), Service: g.service}
+}
+
+// Level returns the admission level of a workspace at this target.
+func (g *Gate) Level(workspace string) Level {
+	if h, ok := g.byName[workspace]; ok {
+		return h.level
+	}
+	return 0
+}
+
+// allowed returns the concurrency limit, ramped up after a cold start.
+func (g *Gate) allowed(now time.Time) int {
+	age := now.Sub(g.since)
+	if age >= coldStart {
+		return int(g.limit)
+	}
+	ramp := float64(age) / float64(coldStart)
+	return int(min(g.limit, coldLimit+(g.limit-coldLimit)*ramp))
+}
+
+// Offer admits, queues or refuses a call. When the call displaces a queued one
+// of lower rank, evicted names that one.
+func (g *Gate) Offer(now time.Time, it Item) (d Decision, evicted Item) {
+	if g.since.IsZero() {
+		g.since = now
+	}
+	h := g.get(it.Workspace, it.Weight)
+	h.seen[class(it.Rank)]++
+	if g.Doomed(now, it.Deadline) {
+		return Refused, Item{}
+	}
+	g.drained = g.drained || len(g.queue) == 0
+	if len(g.queue) == 0 && g.running < g.allowed(now) {
+		g.start(h)
+		return Admitted, Item{}
+	}
+	if len(g.queue) < max(minQueue, int(g.limit*queueShare)) {
+		g.push(it, h)
+		return Queued, Item{}
+	}
+	g.rejected = true
+	worst := g.worst()
+	if !g.before(it, h, g.queue[worst], g.byName[g.queue[worst].Workspace]) {
+		return Refused, Item{}
+	}
+	evicted = g.take(worst)
+	g.push(it, h)
+	return Queued, evicted
+}
+
+// Doomed reports whether too little time is left for the usual service time.
+func (g *Gate) Doomed(now, deadline time.Time) bool {
+	left := deadline.Sub(now)
+	return left <= 0 || left < time.Duration(doomedShare*float64(g.service))
+}
+
+// Next takes the best queued call that may start now. Calls whose deadline
+// cannot be met any more come out as dropped.
+func (g *Gate) Next(now time.Time) (it Item, dropped, ok bool) {
+	if len(g.queue) == 0 || g.running >= g.allowed(now) {
+		return Item{}, false, false
+	}
+	best := 0
+	for i := range g.queue {
+		if g.ahead(i, best) {
+			best = i
+		}
+	}
+	it = g.take(best)
+	if g.Doomed(now, it.Deadline) {
+		return it, true, true
+	}
+	g.start(g.get(it.Workspace, it.Weight))
+	return it, false, true
+}
+
+// Expired takes one queued call whose deadline has passed.
+func (g *Gate) Expired(now time.Time) (Item, bool) {
+	for i := range g.queue {
+		if !g.queue[i].Deadline.After(now) {
+			return g.take(i), true
+		}
+	}
+	return Item{}, false
+}
+
+// Remove takes a call out of the queue and reports whether it was there.
+func (g *Gate) Remove(call uint64) bool {
+	for i := range g.queue {
+		if g.queue[i].Call == call {
+			g.take(i)
+			return true
+		}
+	}
+	return false
+}
+
+// Completion describes a call that has left the target.
+type Completion struct {
+	Total time.Duration // from start to answer
+	Own   time.Duration // Total less the time spent waiting for child calls
+	Shed  bool          // the target refused it as overloaded
+	Whole bool          // the answer was complete
+}
+
+// Done frees a slot and learns from the call's service time.
+func (g *Gate) Done(c Completion) {
+	g.running--
+	g.done++
+	if c.Shed {
+		g.shed++
+		return
+	}
+	if !c.Whole {
+		return
+	}
+	g.observe(c.Own)
+	if g.service == 0 {
+		g.service = c.Total
+	}
+	g.service += time.Duration(meanWeight * float64(c.Total-g.service))
+}
+
+// Turn closes windows that are due.
+func (g *Gate) Turn(now time.Time) {
+	g.drained = g.drained || len(g.queue) == 0
+	g.limiter.turn(now)
+	g.shares.turn(now)
+}
+
+func (g *Gate) start(h *share) {
+	g.running++
+	g.peak = max(g.peak, g.running)
+	h.pass = max(h.pass, g.virtual) + 1/h.weight
+	g.virtual = max(g.virtual, h.pass-1/h.weight)
+}
+
+func (g *Gate) push(it Item, h *share) {
+	h.queued++
+	g.queue = append(g.queue, it)
+}
+
+func (g *Gate) take(i int) Item {
+	it := g.queue[i]
+	last := len(g.queue) - 1
+	g.queue[i] = g.queue[last]
+	g.queue[last] = Item{}
+	g.queue = g.queue[:last]
+	if h, ok := g.byName[it.Workspace]; ok {
+		h.queued--
+	}
+	return it
+}
+
+func (g *Gate) worst() int {
+	worst := 0
+	for i := range g.queue {
+		if g.ahead(worst, i) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+func (g *Gate) ahead(i, j int) bool {
+	a, b := &g.queue[i], &g.queue[j]
+	return g.before(*a, g.byName[a.Workspace], *b, g.byName[b.Workspace])
+}
+
+// before orders waiting calls: important first, then work that was already
+// started upstream, then the workspace with the least weighted service, then rank.
+func (g *Gate) before(a Item, ha *share, b Item, hb *share) bool {
+	if a.Rank.Important != b.Rank.Important {
+		return a.Rank.Important
+	}
+	if started := a.Rank.Depth > 0; started != (b.Rank.Depth > 0) {
+		return started
+	}
+	if ha != hb && ha.pass != hb.pass {
+		return ha.pass < hb.pass
+	}
+	return a.Rank.compare(b.Rank) > 0
+}
--- /dev/null
+++ b/core/admit/share.go
@@ -0,0 +1,163 @@
+package admit
+
+import "time"
+
+const (
+	shareWindow    = 100 * time.Millisecond
+	maxShareWindow = 500 * time.Millisecond
+	// minDone completions make a window's capacity worth acting on before
+	// maxShareWindow has passed.
+	minDone = 20
+	// minFraction keeps a trickle of every workspace flowing, so that answers go
+	// on telling entry nodes the level.
+	minFraction  = 0.01
+	relaxFactor  = 1.1
+	relaxStep    = 0.02
+	decreaseSlow = 0.5 // lowest multiplier of a fraction in one window
+	idleWindows  = 50  // windows without a call before a workspace is forgotten
+)
+
+// share holds what one workspace asked for in the open window and the fractions
+// of its normal and important calls that entry nodes should keep.
+type share struct {
+	weight    float64
+	seen      [2]float64 // calls in the open window: normal, important
+	fraction  [2]float64
+	level     Level
+	pass      float64 // virtual time of weighted fair queueing
+	idle      int
+	queued    int
+	workspace string
+}
+
+const (
+	normal = iota
+	important
+)
+
+func class(r Rank) int {
+	if r.Important {
+		return important
+	}
+	return normal
+}
+
+// shares divides the target's capacity among workspaces by weight.
+type shares struct {
+	list     []*share
+	byName   map[string]*share
+	opened   time.Time
+	done     float64
+	rejected bool // a call was turned away in the open window
+	drained  bool // the queue was empty at some time in the open window
+	virtual  float64
+}
+
+func newShares() shares { return shares{byName: map[string]*share{}} }
+
+func (s *shares) get(workspace string, weight float64) *share {
+	h, ok := s.byName[workspace]
+	if !ok {
+		h = &share{workspace: workspace, fraction: [2]float64{1, 1}}
+		s.byName[workspace] = h
+		s.list = append(s.list, h)
+	}
+	h.weight = max(weight, 1)
+	return h
+}
+
+// turn closes the window and moves every workspace's level: down to its share of
+// what the target completed while saturated, up a step otherwise.
+func (s *shares) turn(now time.Time) {
+	if s.opened.IsZero() {
+		s.opened = now
+	}
+	age := now.Sub(s.opened)
+	if age < shareWindow || s.done < minDone && age < maxShareWindow {
+		return
+	}
+	if saturated := s.rejected || !s.drained; saturated && s.done > 0 {
+		left := s.tighten(important, s.done)
+		s.tighten(normal, left)
+	} else if !saturated {
+		s.relax()
+	}
+	s.finish(now)
+}
+
+// tighten water-fills capacity among the workspaces by weight and returns what
+// is left over.
+func (s *shares) tighten(class int, capacity float64) float64 {
+	demand := 0.0
+	for _, h := range s.list {
+		demand += h.seen[class]
+	}
+	if demand <= capacity {
+		return capacity - demand
+	}
+	bar := s.waterline(class, capacity)
+	for _, h := range s.list {
+		if h.seen[class] == 0 {
+			continue
+		}
+		keep := max(decreaseSlow, min(1, bar*h.weight/h.seen[class]))
+		h.fraction[class] = max(minFraction, h.fraction[class]*keep)
+	}
+	return 0
+}
+
+// waterline returns the calls for each unit of weight at which the capped
+// demands add up to capacity.
+func (s *shares) waterline(class int, capacity float64) float64 {
+	low, high := 0.0, capacity
+	for range 40 {
+		mid := (low + high) / 2
+		sum := 0.0
+		for _, h := range s.list {
+			sum += min(h.seen[class], mid*h.weight)
+		}
+		if sum > capacity {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return low
+}
+
+func (s *shares) relax() {
+	for _, h := range s.list {
+		for c := range h.fraction {
+			h.fraction[c] = min(1, h.fraction[c]*relaxFactor+relaxStep)
+		}
+	}
+}
+
+func (s *shares) finish(now time.Time) {
+	kept := s.list[:0]
+	for _, h := range s.list {
+		h.level = levelOf(h.fraction)
+		if h.seen[normal]+h.seen[important] > 0 || h.queued > 0 {
+			h.idle = 0
+		}
+		h.idle++
+		h.seen = [2]float64{}
+		if h.idle > idleWindows {
+			delete(s.byName, h.workspace)
+			continue
+		}
+		kept = append(kept, h)
+	}
+	clear(s.list[len(kept):])
+	s.list = kept
+	s.opened, s.done, s.rejected, s.drained = now, 0, false, false
+}
+
+// levelOf maps the kept fractions onto the one scale: important calls are cut
+// only when no normal call is kept.
+func levelOf(fraction [2]float64) Level {
+	if fraction[important] < 1 {
+		return HashBuckets + Level((1-fraction[important])*HashBuckets)
+	}
+	return Level((1 - fraction[normal]) * HashBuckets)
+}
--- /dev/null
+++ b/core/call.go
@@ -0,0 +1,306 @@
+package core
+
+import (
+	"time"
+
+	"celeryshelf/core/admit"
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/quota"
+	"celeryshelf/core/retry"
+	"celeryshelf/core/route"
+)
+
+// phase is where a call stands at this node.
+type phase uint8
+
+const (
+	waitingQuota phase = iota
+	waitingRecord
+	queued     // in the gate's queue
+	running    // at the local target
+	forwarding // at another node
+	judged     // refused or answered, the end not yet reported
+)
+
+// failedChildren is how many failed child requests a call remembers, so that
+// its target's own repeats of them are charged to its budget.
+const failedChildren = 4
+
+// call is one call that this node takes part in.
+type call struct {
+	id        CallID
+	origin    Origin
+	phase     phase
+	route     string
+	service   string
+	workspace string
+	weight    float64
+	rank      admit.Rank
+	deadline  time.Time
+	once      bool
+	identity  retry.Identity // zero unless at most once under an Idempotency-Key
+	budget    retry.Budget
+	loan      int    // taken from the parent's budget
+	parent    CallID // 0 if none
+	request   uint64
+	repeat    bool // the request can be sent again
+
+	endpoint *route.Endpoint
+	attempts int
+	lent     int // budget passed to the node it was forwarded to
+	began    time.Time
+	ran      Ran
+	level    admit.Level // highest level reported below
+
+	open    int // child calls that have not ended
+	idle    time.Time
+	blocked time.Duration // time with open child calls
+	failed  [failedChildren]uint64
+	fails   int
+	copies  int // nodes asked to keep a record of the call
+	awaited int // Recorded messages still to come
+	settles bool
+}
+
+func (s *State) newCall(id CallID) *call {
+	var c *call
+	if n := len(s.free); n > 0 {
+		c, s.free = s.free[n-1], s.free[:n-1]
+		*c = call{}
+	} else {
+		c = &call{}
+	}
+	c.id = id
+	s.calls[id] = c
+	return c
+}
+
+// end removes a call and settles with its parent.
+func (s *State) end(now time.Time, c *call, ok bool) {
+	delete(s.calls, c.id)
+	s.free = append(s.free, c)
+	if c.parent == 0 {
+		return
+	}
+	p, found := s.calls[c.parent]
+	if !found {
+		return
+	}
+	p.budget.Return(c.loan, c.budget.Left())
+	p.level = max(p.level, c.level)
+	p.open--
+	if p.open == 0 {
+		p.blocked += now.Sub(p.idle)
+	}
+	if !ok {
+		p.failed[p.fails%failedChildren] = c.request
+		p.fails++
+	}
+}
+
+// repeats reports whether a child request has failed before under the call.
+func (c *call) repeats(request uint64) bool {
+	for _, r := range c.failed[:min(c.fails, failedChildren)] {
+		if r == request {
+			return true
+		}
+	}
+	return false
+}
+
+// arrive takes in a new call from any side.
+func (s *State) arrive(now time.Time, e *Arrive) {
+	c := s.newCall(e.Call)
+	c.origin, c.repeat, c.request = e.Origin, e.Replayable, e.Request
+	switch e.Origin {
+	case FromCaller:
+		s.arriveCaller(now, c, e)
+	case FromTarget:
+		s.arriveTarget(now, c, e)
+	case FromNode:
+		s.arriveNode(now, c, e)
+	}
+}
+
+// resolve finds the route of a call that enters the graph's next service here.
+func (s *State) resolve(now time.Time, c *call, e *Arrive) *manifest.Route {
+	if s.config == nil {
+		s.refuse(now, c, NoManifest)
+		return nil
+	}
+	r := s.config.routes[e.Route]
+	if r == nil {
+		s.refuse(now, c, UnknownRoute)
+		return nil
+	}
+	timeout := r.Timeout.Duration
+	if e.Timeout > 0 {
+		timeout = min(timeout, e.Timeout)
+	}
+	c.route, c.service, c.once = r.Name, r.Service, r.Once
+	c.deadline = now.Add(timeout)
+	return r
+}
+
+func (s *State) arriveCaller(now time.Time, c *call, e *Arrive) {
+	r := s.resolve(now, c, e)
+	if r == nil {
+		return
+	}
+	if !s.authorize(now, c, e, r) {
+		return
+	}
+	c.rank = admit.Rank{Important: r.Important, Hash: uint16(mix(e.Seed) % admit.HashBuckets)}
+	if e.Origin == FromCaller {
+		c.budget = retry.NewBudget(s.config.source.Manifest.Retries)
+	}
+	s.identify(c, e.Repeat)
+	if c.rank.Score() < s.levels.Level(now, c.route, c.workspace) {
+		s.refuse(now, c, ShedByLevel)
+		return
+	}
+	s.charge(now, c)
+}
+
+// authorize finds the workspace whose key came with the call.
+func (s *State) authorize(now time.Time, c *call, e *Arrive, r *manifest.Route) bool {
+	if e.Keyed && !s.isolated(now) {
+		if w := s.config.digests[e.Key]; w != nil {
+			c.workspace, c.weight = w.Name, w.Rate
+			return true
+		}
+	}
+	if r.Open {
+		c.weight = s.config.meanRate
+		return true
+	}
+	if e.Keyed && s.isolated(now) {
+		s.refuse(now, c, Isolated)
+		return false
+	}
+	s.refuse(now, c, UnknownKey)
+	return false
+}
+
+// identify marks a call that must run at most once among its own repeats.
+func (s *State) identify(c *call, repeat uint64) {
+	if c.once && repeat != 0 {
+		c.identity = retry.Identity{Workspace: c.workspace, Key: repeat}
+	}
+}
+
+// charge takes a token of the workspace's allowance before the call goes on.
+func (s *State) charge(now time.Time, c *call) {
+	if c.workspace == "" {
+		s.dispatch(now, c, "")
+		return
+	}
+	c.phase = waitingQuota
+	switch s.holder.Take(now, c.workspace, uint64(c.id), c.deadline) {
+	case quota.Denied:
+		s.refuse(now, c, s.denial(c.workspace))
+	case quota.Taken:
+		s.dispatch(now, c, "")
+	case quota.Waiting:
+	}
+	s.ask(now)
+}
+
+func (s *State) arriveTarget(now time.Time, c *call, e *Arrive) {
+	p, ok := s.calls[e.Parent]
+	if !ok || p.phase != running {
+		// Without the context of a running call nothing tells for which
+		// workspace this is, so only open routes and keys get further. The
+		// key is checked as for any outside caller.
+		if e.Keyed || s.openRoute(e.Route) {
+			s.arriveCaller(now, c, e)
+			return
+		}
+		s.refuse(now, c, NoContext)
+		return
+	}
+	s.arriveChild(now, c, e, p)
+}
+
+func (s *State) openRoute(name string) bool {
+	if s.config == nil {
+		return false
+	}
+	r := s.config.routes[name]
+	return r != nil && r.Open
+}
+
+func (s *State) arriveChild(now time.Time, c *call, e *Arrive, p *call) {
+	if s.resolve(now, c, e) == nil {
+		return
+	}
+	if p.repeats(e.Request) && !p.budget.Spend() {
+		s.refuse(now, c, BudgetSpent)
+		return
+	}
+	if p.open == 0 {
+		p.idle = now
+	}
+	p.open++
+	c.parent, c.loan = p.id, p.budget.Lend()
+	c.budget = retry.NewBudget(c.loan)
+	c.workspace, c.weight, c.rank = p.workspace, p.weight, p.rank.Child()
+	if p.deadline.Before(c.deadline) {
+		c.deadline = p.deadline
+	}
+	s.identify(c, e.Repeat)
+	s.dispatch(now, c, "")
+}
+
+func (s *State) arriveNode(now time.Time, c *call, e *Arrive) {
+	p := &e.Pass
+	c.route, c.workspace, c.rank, c.once = p.Route, p.Workspace, p.Rank, p.Once
+	c.service, c.weight = s.self.Service, s.weight(p.Workspace)
+	c.deadline = now.Add(p.Timeout)
+	c.budget = retry.NewBudget(p.Budget)
+	c.settles = true
+	s.identify(c, p.Repeat)
+	switch {
+	case p.Target != s.self.Name:
+		s.refuse(now, c, WrongTarget)
+	case s.self.Draining:
+		s.refuse(now, c, Draining)
+	default:
+		c.endpoint = s.routes.Find(s.self.Service, s.self.Name)
+		c.endpoint.Begin()
+		s.offer(now, c)
+	}
+}
+
+// refuse ends a call that is not to run, or not again.
+func (s *State) refuse(now time.Time, c *call, why Reason) {
+	s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
+		Call: c.id, Action: Refuse, Reason: why, Ran: c.ran,
+		Retry: retryAfter(why), Level: s.reported(c), Unspent: c.budget.Left(),
+	})
+	s.end(now, c, false)
+}
+
+// reported returns the level that goes upstream with a call's answer.
+func (s *State) reported(c *call) admit.Level {
+	if c.endpoint != nil && c.endpoint.Local {
+		return max(c.level, s.gate.Level(c.workspace))
+	}
+	return c.level
+}
+
+const (
+	shortRetryAfter = 1 * time.Second
+	longRetryAfter  = 5 * time.Second
+)
+
+func retryAfter(why Reason) time.Duration {
+	switch why {
+	case OverQuota, ShedByLevel, Overloaded, NoEndpoint, AttemptFailed, Draining, DeadlinePassed:
+		return shortRetryAfter
+	case QuotaUnavailable, NoManifest, Isolated:
+		return longRetryAfter
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/core/fleet.go
@@ -0,0 +1,273 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"celeryshelf/core/member"
+)
+
+const (
+	tickSync     = 500 * time.Millisecond
+	syncFanout   = 2
+	spreadFanout = 4
+	// rumorLimit and rumorRotate bound the announcements in one Sync.
+	rumorLimit  = 24
+	rumorRotate = 3
+	// joinRotate is what a node that has just joined is told at once.
+	joinRotate = 64
+	// probeSilent is how often, one round in so many, a silent peer is tried.
+	probeSilent = 4
+	// isolatedAfter without the store and without any peer, a node no longer
+	// trusts the keys it knows.
+	isolatedAfter = 3 * time.Second
+	sweepEvery    = 1 * time.Second
+)
+
+// clock is the largest reading of a peer's clock against this node's.
+type clock struct {
+	incarnation uint64
+	offset      time.Duration
+	at          time.Time
+}
+
+const (
+	// clockDrift is the rate by which two sound clocks may part, a part in so many.
+	clockDrift = 2000
+	// clockSlack is the delay of a message that does not make its clock suspect.
+	clockSlack = 250 * time.Millisecond
+)
+
+// observe compares a peer's clock with this node's and reports whether it has
+// kept pace since it was first read. A peer that was stopped together with its
+// clock has not, and believes in leases that have run out.
+func (s *State) observe(now time.Time, name string, incarnation uint64, reading time.Duration) bool {
+	offset := reading - now.Sub(s.started)
+	c, ok := s.clocks[name]
+	if !ok || incarnation > c.incarnation {
+		s.clocks[name] = clock{incarnation: incarnation, offset: offset, at: now}
+		return true
+	}
+	expected := c.offset - now.Sub(c.at)/clockDrift
+	if offset > expected {
+		s.clocks[name] = clock{incarnation: c.incarnation, offset: offset, at: now}
+	}
+	return offset >= expected-clockSlack
+}
+
+func (s *State) tick(now time.Time) {
+	s.gate.Turn(now)
+	for {
+		it, ok := s.gate.Expired(now)
+		if !ok {
+			break
+		}
+		s.turnAway(now, s.calls[CallID(it.Call)], DeadlinePassed)
+	}
+	s.pump(now)
+	s.overdueRecords(now)
+	s.tickQuota(now)
+	if !now.Before(s.due.sync) {
+		s.due.sync = now.Add(s.jitter(tickSync))
+		s.gossip(now)
+	}
+	if !now.Before(s.due.claim) {
+		s.due.claim = now.Add(claimEvery)
+		s.claim(now)
+	}
+	if !now.Before(s.due.sweep) {
+		s.due.sweep = now.Add(sweepEvery)
+		s.sweep(now)
+	}
+}
+
+func (s *State) tickQuota(now time.Time) {
+	s.released = s.holder.Turn(now, s.released[:0])
+	for _, id := range s.released {
+		if c, ok := s.calls[CallID(id)]; ok {
+			s.refuse(now, c, s.denial(c.workspace))
+		}
+	}
+	s.ask(now)
+}
+
+func (s *State) sweep(now time.Time) {
+	s.levels.Sweep(now)
+	s.ledger.Sweep(now)
+	for _, name := range s.peers.Forget(now) {
+		s.routes.Drop(name)
+		delete(s.clocks, name)
+		s.notice(Notice{Kind: PeerForgotten, Peer: name})
+	}
+}
+
+// jitter spreads a period by a fifth to either side.
+func (s *State) jitter(d time.Duration) time.Duration {
+	span := uint64(d) * 2 / 5
+	return d*4/5 + time.Duration(s.next()%span)
+}
+
+// isolated reports whether neither the store nor any peer has been heard of for
+// so long that a withdrawn key may not be known here.
+func (s *State) isolated(now time.Time) bool {
+	return !s.store && len(s.peers.All()) > 0 && now.Sub(s.contact) > isolatedAfter
+}
+
+func (s *State) send(to string, m Message) {
+	p, ok := s.peers.Get(to)
+	if !ok {
+		return
+	}
+	s.effects.Envelopes = append(s.effects.Envelopes, Envelope{To: to, Address: p.Control, Body: m})
+}
+
+func (s *State) sync(now time.Time, limit, rotate int) *Sync {
+	return &Sync{
+		Self:    s.self,
+		Clock:   now.Sub(s.started),
+		Members: s.peers.Rumors(limit, rotate),
+	}
+}
+
+// gossip tells a few peers, drawn at random, what has changed.
+func (s *State) gossip(now time.Time) {
+	if len(s.peers.All()) == 0 {
+		for _, seed := range s.seeds {
+			s.effects.Envelopes = append(s.effects.Envelopes, s.hello(now, seed))
+		}
+		return
+	}
+	s.spread(now, syncFanout)
+}
+
+func (s *State) hello(now time.Time, seed netip.AddrPort) Envelope {
+	return Envelope{Address: seed, Body: s.sync(now, 0, 0)}
+}
+
+// spread sends a Sync to n peers drawn at random.
+func (s *State) spread(now time.Time, n int) {
+	peers := s.peers.All()
+	if len(peers) == 0 {
+		return
+	}
+	silent := s.next()%probeSilent == 0
+	start := int(s.next() % uint64(len(peers)))
+	for i := 0; i < len(peers) && n > 0; i++ {
+		p := &peers[(start+i)%len(peers)]
+		if p.Silent && !silent {
+			continue
+		}
+		s.send(p.Name, s.sync(now, rumorLimit, rumorRotate))
+		n--
+	}
+}
+
+// announce makes a change of the node's own announcement known.
+func (s *State) announce() {
+	s.self.Revision++
+	s.effects.Requests = append(s.effects.Requests, &Announce{Member: s.self})
+}
+
+// receive takes in a message of a peer.
+func (s *State) receive(now time.Time, e *Received) {
+	s.contact = now
+	switch m := e.Body.(type) {
+	case *Sync:
+		s.synced(now, m)
+	case *Fetch:
+		if s.config != nil {
+			s.send(e.From, &Config{Manifest: s.config.source})
+		}
+	case *Config:
+		s.adopt(now, m.Manifest)
+	case *TokenAsk:
+		grant := s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens)
+		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
+	case *TokenGrant:
+		s.tokenGrant(now, e.From, m)
+	case *Record:
+		s.record(now, e.From, m)
+	case *Recorded:
+		s.recorded(now, m)
+	case *Handover:
+		for _, id := range m.Identities {
+			s.ledger.Record(now, id, handedOver)
+		}
+	}
+}
+
+func (s *State) synced(now time.Time, m *Sync) {
+	joined := s.hear(now, m.Self)
+	s.reachable(now, m.Self.Name, true)
+	s.observe(now, m.Self.Name, m.Self.Incarnation, m.Clock)
+	for _, o := range m.Members {
+		s.hear(now, o)
+	}
+	switch {
+	case m.Self.Version > s.version():
+		s.send(m.Self.Name, &Fetch{})
+	case joined:
+		s.send(m.Self.Name, s.sync(now, rumorLimit, joinRotate))
+	case m.Self.Version < s.version():
+		s.send(m.Self.Name, s.sync(now, 0, 0))
+	}
+}
+
+// hear merges an announcement and reports whether it brought a new process.
+func (s *State) hear(now time.Time, m member.Member) bool {
+	if m.Name == s.self.Name {
+		return false
+	}
+	before, _ := s.peers.Get(m.Name)
+	change := s.peers.Hear(now, m)
+	if change == member.Stale {
+		return false
+	}
+	p, _ := s.peers.Get(m.Name)
+	s.routes.Put(now, s.endpoint(p.Member, p.Silent), change == member.Joined)
+	if change == member.Joined {
+		s.notice(Notice{Kind: PeerJoined, Peer: m.Name})
+	}
+	if m.Draining && !before.Draining {
+		s.notice(Notice{Kind: PeerDraining, Peer: m.Name})
+	}
+	return change == member.Joined
+}
+
+func (s *State) reach(now time.Time, e *PeerReach) {
+	if e.Reached {
+		s.contact = now
+	}
+	s.reachable(now, e.Name, e.Reached)
+}
+
+func (s *State) reachable(now time.Time, name string, reached bool) {
+	if !s.peers.Reach(now, name, reached) {
+		return
+	}
+	p, _ := s.peers.Get(name)
+	s.routes.Put(now, s.endpoint(p.Member, p.Silent), false)
+	kind := PeerBack
+	if p.Silent {
+		kind = PeerSilent
+	}
+	s.notice(Notice{Kind: kind, Peer: name})
+}
+
+// drain starts the node's departure.
+func (s *State) drain(now time.Time) {
+	if s.self.Draining {
+		return
+	}
+	s.self.Draining = true
+	s.announce()
+	s.routes.Put(now, s.endpoint(s.self, false), false)
+	for _, shard := range s.owner.Shards() {
+		s.yield(shard)
+	}
+	s.handOver()
+	for _, p := range s.peers.All() {
+		s.send(p.Name, s.sync(now, 0, 0))
+	}
+	s.notice(Notice{Kind: DrainStarted})
+}
--- /dev/null
+++ b/core/identity.go
@@ -0,0 +1,134 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"celeryshelf/core/retry"
+)
+
+const (
+	// recordCopies is how many other nodes hear of a call under an
+	// Idempotency-Key before it runs.
+	recordCopies  = 2
+	recordTimeout = 200 * time.Millisecond
+	handoverBatch = 200
+)
+
+// handedOver is the home of records whose own home has left.
+var handedOver = retry.Home{Name: "*"}
+
+// consult checks a call's identity at its home and reports whether the call may
+// go on now. A first call waits until other nodes hold a copy of its record.
+func (s *State) consult(now time.Time, c *call) bool {
+	standing, of := s.ledger.Look(c.identity)
+	switch standing {
+	case retry.Answered:
+		c.endpoint.Canceled()
+		s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
+			Call: c.id, Action: Replay, Of: CallID(of), Unspent: c.budget.Left(),
+		})
+		s.end(now, c, true)
+		return false
+	case retry.Running, retry.Recorded:
+		s.duplicate(now, c)
+		return false
+	case retry.Unseen:
+	}
+	s.ledger.Set(now, c.identity, retry.Running, uint64(c.id))
+	c.copies = s.copy(c)
+	c.awaited = c.copies
+	if c.awaited == 0 {
+		return true
+	}
+	c.phase, c.began = waitingRecord, now
+	s.records = append(s.records, c)
+	return false
+}
+
+// duplicate refuses a repeat whose first run may have happened.
+func (s *State) duplicate(now time.Time, c *call) {
+	c.endpoint.Canceled()
+	c.ran = RanUnknown
+	s.refuse(now, c, Duplicate)
+}
+
+// copy sends the record of a call to the next nodes in its key's order.
+func (s *State) copy(c *call) int {
+	sent := 0
+	for _, e := range s.routes.Ranked(s.self.Service, c.identity.Key) {
+		if e.Local || e.Silent || sent == recordCopies {
+			continue
+		}
+		s.send(e.Name, &Record{Call: c.id, Identity: c.identity, Incarnation: s.self.Incarnation})
+		sent++
+	}
+	return sent
+}
+
+// recorded takes in that a copy of a record is kept.
+func (s *State) recorded(now time.Time, m *Recorded) {
+	c, ok := s.calls[m.Call]
+	if !ok || c.phase != waitingRecord {
+		return
+	}
+	if m.Known {
+		s.unlist(c)
+		s.duplicate(now, c)
+		return
+	}
+	c.awaited--
+	if c.awaited > 0 {
+		return
+	}
+	s.unlist(c)
+	s.enter(now, c)
+}
+
+// overdueRecords refuses the calls whose record nobody would keep, and lets go
+// on those with at least one copy.
+func (s *State) overdueRecords(now time.Time) {
+	for len(s.records) > 0 {
+		c := s.records[0]
+		if now.Sub(c.began) < recordTimeout {
+			return
+		}
+		s.unlist(c)
+		if c.awaited < c.copies && now.Before(c.deadline) {
+			s.enter(now, c)
+			continue
+		}
+		s.turnAway(now, c, NoEndpoint)
+	}
+}
+
+func (s *State) unlist(c *call) {
+	s.records = slices.DeleteFunc(s.records, func(o *call) bool { return o == c })
+}
+
+// handOver gives the node's records to those that answer for them next.
+func (s *State) handOver() {
+	batches := map[string][]retry.Identity{}
+	for _, id := range s.ledger.All() {
+		sent := 0
+		for _, e := range s.routes.Ranked(s.self.Service, id.Key) {
+			if e.Local || e.Silent || e.Draining || sent == recordCopies {
+				continue
+			}
+			batches[e.Name] = append(batches[e.Name], id)
+			sent++
+		}
+	}
+	for _, p := range s.peers.All() {
+		for chunk := range slices.Chunk(batches[p.Name], handoverBatch) {
+			s.send(p.Name, &Handover{Identities: chunk})
+		}
+	}
+}
+
+// record keeps copies for another home.
+func (s *State) record(now time.Time, from string, m *Record) {
+	home := retry.Home{Name: from, Incarnation: m.Incarnation}
+	known := s.ledger.Record(now, m.Identity, home)
+	s.send(from, &Recorded{Call: m.Call, Known: known})
+}
--- /dev/null
+++ b/core/manifest/check.go
@@ -0,0 +1,117 @@
+package manifest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds that every manifest keeps.
+const (
+	MaxRetries     = 8
+	MaxTimeout     = 5 * time.Minute
+	MinBurstWindow = 100 * time.Millisecond // burst must cover the rate for this long
+)
+
+// Fault is one broken rule and the place in the document that breaks it.
+type Fault struct {
+	Path string // JSON pointer
+	Rule string
+}
+
+// Error renders the fault as path and rule.
+func (f Fault) Error() string { return f.Path + ": " + f.Rule }
+
+// checker collects faults and the names already taken.
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) addf(path, rule string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: path, Rule: fmt.Sprintf(rule, args...)})
+}
+
+// unique reports a name that an earlier element of the same list carries.
+func (c *checker) unique(seen map[string]bool, path, name string) {
+	if name == "" {
+		c.addf(path, "must not be empty")
+		return
+	}
+	if seen[name] {
+		c.addf(path, "duplicate name %q", name)
+	}
+	seen[name] = true
+}
+
+// Check returns every broken rule, in document order.
+func (m *Manifest) Check() []Fault {
+	c := &checker{}
+	if m.Retries < 0 || m.Retries > MaxRetries {
+		c.addf("/retries", "must be between 0 and %d", MaxRetries)
+	}
+	c.workspaces(m.Workspaces)
+	services := c.services(m.Services)
+	c.routes(m.Routes, services)
+	return c.faults
+}
+
+func (c *checker) workspaces(list []Workspace) {
+	names := map[string]bool{}
+	digests := map[Digest]string{}
+	for i, w := range list {
+		at := fmt.Sprintf("/workspaces/%d", i)
+		c.unique(names, at+"/name", w.Name)
+		if w.Rate <= 0 {
+			c.addf(at+"/rate", "must be greater than 0")
+		}
+		if float64(w.Burst) < max(1, w.Rate*MinBurstWindow.Seconds()) {
+			c.addf(at+"/burst", "must be at least 1 and cover the rate for %s", MinBurstWindow)
+		}
+		keys := map[string]bool{}
+		for j, k := range w.Keys {
+			kat := fmt.Sprintf("%s/keys/%d", at, j)
+			c.unique(keys, kat+"/name", k.Name)
+			if owner, taken := digests[k.Digest]; taken {
+				c.addf(kat+"/digest", "same key as %s", owner)
+			}
+			digests[k.Digest] = w.Name + "/" + k.Name
+		}
+	}
+}
+
+func (c *checker) services(list []Service) map[string]bool {
+	names := map[string]bool{}
+	for i, s := range list {
+		c.unique(names, fmt.Sprintf("/services/%d/name", i), s.Name)
+	}
+	return names
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+func (c *checker) routes(list []Route, services map[string]bool) {
+	names := map[string]bool{}
+	patterns := map[string]bool{}
+	for i, r := range list {
+		at := fmt.Sprintf("/routes/%d", i)
+		c.unique(names, at+"/name", r.Name)
+		if !slices.Contains(methods, r.Method) {
+			c.addf(at+"/method", "must be one of %s", strings.Join(methods, ", "))
+		}
+		if !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, " {}?#") {
+			c.addf(at+"/path", "must start with / and hold no space or any of {}?#")
+		}
+		pattern := r.Method + " " + r.Path
+		if patterns[pattern] {
+			c.addf(at+"/path", "duplicate route for %s", pattern)
+		}
+		patterns[pattern] = true
+		if !services[r.Service] {
+			c.addf(at+"/service", "no service named %q", r.Service)
+		}
+		if r.Timeout.Duration <= 0 || r.Timeout.Duration > MaxTimeout {
+			c.addf(at+"/timeout", "must be greater than 0 and at most %s", MaxTimeout)
+		}
+	}
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,39 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+)
+
+// Member is one node's announcement of itself and its local target.
+type Member struct {
+	Name        string         `json:"name"`
+	Service     string         `json:"service"`
+	Domain      string         `json:"domain"`
+	Region      string         `json:"region,omitempty"`
+	Node        netip.AddrPort `json:"node"`    // calls over HTTP/2
+	Control     netip.AddrPort `json:"control"` // messages over jsonrpc2
+	Incarnation uint64         `json:"inc"`     // rises with each start of the process
+	Revision    uint64         `json:"rev"`     // rises with each change of the announcement
+	Version     uint64         `json:"version"` // manifest in force
+	Draining    bool           `json:"drain,omitempty"`
+}
+
+// newer reports whether m supersedes o.
+func (m Member) newer(o Member) bool {
+	return cmp.Or(cmp.Compare(m.Incarnation, o.Incarnation), cmp.Compare(m.Revision, o.Revision)) > 0
+}
+
+// Peer is a member together with what this node has seen of it.
+type Peer struct {
+	Member
+	Heard  time.Time // last news of the member, from anyone
+	Silent bool      // the last attempts to reach it failed
+
+	strikes int // failed attempts in a row
+	hot     int // gossip rounds that still carry it
+}
+
+// Live reports whether the peer may be given new work.
+func (p *Peer) Live() bool { return !p.Draining && !p.Silent }
--- /dev/null
+++ b/core/message.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/member"
+	"celeryshelf/core/quota"
+	"celeryshelf/core/retry"
+)
+
+// Message is what one node tells another about the control of the fleet.
+type Message interface{ message() }
+
+// Sync gossips announcements and the version of the manifest in force.
+type Sync struct {
+	Self    member.Member   `json:"self"`
+	Clock   time.Duration   `json:"clock"` // sender's time since its start
+	Members []member.Member `json:"members,omitempty"`
+}
+
+// Fetch asks for the manifest in force.
+type Fetch struct{}
+
+// Config carries the manifest in force.
+type Config struct {
+	Manifest manifest.Versioned `json:"manifest"`
+}
+
+// TokenAsk asks a shard's owner for tokens.
+type TokenAsk struct {
+	Ask quota.Ask `json:"ask"`
+}
+
+// TokenGrant answers a TokenAsk.
+type TokenGrant struct {
+	Ask   quota.Ask     `json:"ask"`
+	Grant quota.Grant   `json:"grant"`
+	Clock time.Duration `json:"clock"` // owner's time since its start
+}
+
+// Record asks a peer to keep a copy of the fact that a call may run.
+type Record struct {
+	Call        CallID         `json:"call"`
+	Identity    retry.Identity `json:"identity"`
+	Incarnation uint64         `json:"inc"` // of the sender, which is the identity's home
+}
+
+// Handover gives a leaving node's records to the nodes that answer for them next.
+type Handover struct {
+	Identities []retry.Identity `json:"identities"`
+}
+
+// Recorded answers a Record with what the peer knew before.
+type Recorded struct {
+	Call  CallID `json:"call"`
+	Known bool   `json:"known"` // the peer had heard of the identity already
+}
+
+func (*Sync) message()       {}
+func (*Fetch) message()      {}
+func (*Config) message()     {}
+func (*TokenAsk) message()   {}
+func (*TokenGrant) message() {}
+func (*Record) message()     {}
+func (*Recorded) message()   {}
+func (*Handover) message()   {}
+
+// Envelope is a message with its receiver.
+type Envelope struct {
+	To      string // name of the peer, empty for a seed address
+	Address netip.AddrPort
+	Body    Message
+}
--- /dev/null
+++ b/core/platform.go
@@ -0,0 +1,285 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryshelf/core/member"
+	"celeryshelf/core/quota"
+)
+
+const (
+	// claimDelay lets a starting node learn of its peers before it claims shards.
+	claimDelay = 1500 * time.Millisecond
+	claimEvery = 500 * time.Millisecond
+	// claimStagger is how much longer than the one before it each further
+	// candidate waits before it claims a vacant shard.
+	claimStagger = 1 * time.Second
+)
+
+// platform takes in what the store says.
+func (s *State) platform(now time.Time, e Event) {
+	switch e := e.(type) {
+	case *LeaseHeld:
+		s.owner.Renew(e.Until)
+	case *LeaseLost:
+		s.leaseLost()
+	case *StoreUp:
+		s.storeUp(now, e.Up)
+	case *Snapshot:
+		s.snapshot(now, e)
+	case *ManifestSeen:
+		s.adopt(now, e.Manifest)
+	case *MemberSeen:
+		s.hear(now, e.Member)
+	case *MemberGone:
+		s.reachable(now, e.Name, false)
+	case *ShardSeen:
+		s.shardSeen(e.ShardRecord)
+	case *ShardGone:
+		s.shardGone(now, e.Shard)
+	case *ClaimDone:
+		s.claimDone(now, e)
+	}
+}
+
+func (s *State) storeUp(now time.Time, up bool) {
+	if up != s.store {
+		kind := StoreAway
+		if up {
+			kind = StoreBack
+		}
+		s.notice(Notice{Kind: kind})
+	}
+	s.store = up
+	s.contact = now
+}
+
+func (s *State) leaseLost() {
+	for _, shard := range s.owner.Shards() {
+		s.lose(shard)
+	}
+	s.effects.Requests = append(s.effects.Requests, &Announce{Member: s.self})
+}
+
+func (s *State) snapshot(now time.Time, e *Snapshot) {
+	if e.Manifest != nil {
+		s.adopt(now, *e.Manifest)
+	}
+	for _, m := range e.Members {
+		s.hear(now, m)
+	}
+	clear(s.shards)
+	for _, r := range e.Shards {
+		s.shards[r.Shard] = r.Owner
+	}
+	for _, shard := range s.owner.Shards() {
+		if s.shards[shard] != s.self.Name {
+			s.lose(shard)
+		}
+	}
+}
+
+func (s *State) shardSeen(r ShardRecord) {
+	s.shards[r.Shard] = r.Owner
+	delete(s.claims, r.Shard)
+	if r.Owner != s.self.Name && s.owner.Holds(r.Shard) {
+		s.lose(r.Shard)
+	}
+}
+
+func (s *State) shardGone(now time.Time, shard quota.Shard) {
+	delete(s.shards, shard)
+	if s.owner.Holds(shard) {
+		s.lose(shard)
+	}
+	if s.mayClaim() && s.declared(shard) {
+		s.claimOne(now, shard)
+	}
+}
+
+// declared reports whether the manifest in force has such a shard.
+func (s *State) declared(shard quota.Shard) bool {
+	w := s.config.workspaces[shard.Workspace]
+	return w != nil && allowance(w).Shards() == shard.Count
+}
+
+// lose stops granting tokens of a shard that is no longer this node's.
+func (s *State) lose(shard quota.Shard) {
+	s.owner.Release(shard)
+	s.notice(Notice{Kind: ShardLost, Shard: shard})
+}
+
+// yield gives up a shard and deletes its record, so that another may claim it.
+func (s *State) yield(shard quota.Shard) {
+	s.lose(shard)
+	s.effects.Requests = append(s.effects.Requests, &Release{Shard: shard})
+}
+
+// claim asks the store for the vacant shards that this node is the next
+// candidate for.
+func (s *State) claim(now time.Time) {
+	if !s.mayClaim() {
+		return
+	}
+	for i := range s.config.source.Manifest.Workspaces {
+		w := &s.config.source.Manifest.Workspaces[i]
+		n := allowance(w).Shards()
+		for k := range n {
+			s.claimOne(now, quota.Shard{Workspace: w.Name, Index: k, Count: n})
+		}
+	}
+}
+
+func (s *State) mayClaim() bool {
+	return s.config != nil && s.store && !s.self.Draining
+}
+
+func (s *State) claimOne(now time.Time, shard quota.Shard) {
+	if _, owned := s.shards[shard]; owned {
+		delete(s.claims, shard)
+		return
+	}
+	since, seen := s.claims[shard]
+	if !seen {
+		since = now
+		s.claims[shard] = now
+	}
+	if now.Sub(since) < time.Duration(s.candidacy(shard))*claimStagger {
+		return
+	}
+	s.claims[shard] = now
+	s.effects.Requests = append(s.effects.Requests, &Claim{Shard: shard, Rival: rivals(shard)})
+}
+
+// rivals returns the shards of the other way to split the workspace.
+func rivals(s quota.Shard) []quota.Shard {
+	var out []quota.Shard
+	for _, n := range quota.Splits() {
+		for i := 0; n != s.Count && i < n; i++ {
+			out = append(out, quota.Shard{Workspace: s.Workspace, Index: i, Count: n})
+		}
+	}
+	return out
+}
+
+// candidacy returns this node's place among the candidates for a shard. Shards
+// of one workspace prefer different domains.
+func (s *State) candidacy(shard quota.Shard) int {
+	domain := s.preferredDomain(shard)
+	mine := s.suitability(s.self, shard, domain)
+	place := 0
+	for _, p := range s.peers.All() {
+		if p.Live() && s.suitability(p.Member, shard, domain) > mine {
+			place++
+		}
+	}
+	return place
+}
+
+func (s *State) preferredDomain(shard quota.Shard) string {
+	domains := []string{s.self.Domain}
+	for _, p := range s.peers.All() {
+		if p.Live() {
+			domains = append(domains, p.Domain)
+		}
+	}
+	slices.Sort(domains)
+	domains = slices.Compact(domains)
+	i := (xxhash.Sum64String(shard.Workspace) + uint64(shard.Index)) % uint64(len(domains))
+	return domains[i]
+}
+
+// suitability orders candidates: the preferred domain first, then by hash.
+func (s *State) suitability(m member.Member, shard quota.Shard, domain string) uint64 {
+	h := mix(xxhash.Sum64String(shard.Workspace+"/"+m.Name)+uint64(shard.Index)) >> 1
+	if m.Domain == domain {
+		h |= 1 << 63
+	}
+	return h
+}
+
+func (s *State) claimDone(now time.Time, e *ClaimDone) {
+	if !e.Held {
+		return
+	}
+	if s.self.Draining || s.config == nil || !s.declared(e.Shard) {
+		s.effects.Requests = append(s.effects.Requests, &Release{Shard: e.Shard})
+		return
+	}
+	s.shards[e.Shard] = s.self.Name
+	delete(s.claims, e.Shard)
+	if s.owner.Holds(e.Shard) {
+		return
+	}
+	s.owner.Acquire(now, e.Shard, allowance(s.config.workspaces[e.Shard.Workspace]))
+	s.notice(Notice{Kind: ShardAcquired, Shard: e.Shard})
+}
+
+// ask carries the holder's asks to the shards' owners, this node included.
+func (s *State) ask(now time.Time) {
+	for {
+		a, ok := s.holder.NextAsk()
+		if !ok {
+			return
+		}
+		owner, known := s.shards[a.Shard]
+		switch {
+		case known && owner == s.self.Name:
+			s.granted(now, a, s.owner.Grant(now, a.Shard, a.Tokens))
+		case known && s.knows(owner):
+			s.send(owner, &TokenAsk{Ask: a})
+		default:
+			s.granted(now, a, quota.Unowned())
+		}
+	}
+}
+
+func (s *State) knows(name string) bool {
+	p, ok := s.peers.Get(name)
+	return ok && !p.Silent
+}
+
+func (s *State) tokenGrant(now time.Time, from string, m *TokenGrant) {
+	p, ok := s.peers.Get(from)
+	if !ok {
+		return
+	}
+	grant := m.Grant
+	if !s.observe(now, from, p.Incarnation, m.Clock) {
+		s.notice(Notice{Kind: OwnerClockBehind, Peer: from, Shard: m.Ask.Shard})
+		grant = quota.Unowned()
+	}
+	s.granted(now, m.Ask, grant)
+	s.ask(now)
+}
+
+// granted hands tokens to the calls that wait for them.
+func (s *State) granted(now time.Time, a quota.Ask, g quota.Grant) {
+	s.released = s.holder.Granted(now, a, g, s.released[:0])
+	ready := slices.Clone(s.released)
+	for _, id := range ready {
+		if c, ok := s.calls[CallID(id)]; ok {
+			s.dispatch(now, c, "")
+		}
+	}
+}
+
+// Owners returns the recorded owner of every shard, in order.
+func (s *State) Owners() []ShardRecord {
+	out := make([]ShardRecord, 0, len(s.shards))
+	for shard, owner := range s.shards {
+		out = append(out, ShardRecord{Shard: shard, Owner: owner})
+	}
+	slices.SortFunc(out, func(a, b ShardRecord) int {
+		return cmp.Or(
+			cmp.Compare(a.Shard.Workspace, b.Shard.Workspace),
+			cmp.Compare(a.Shard.Count, b.Shard.Count),
+			cmp.Compare(a.Shard.Index, b.Shard.Index),
+		)
+	})
+	return out
+}
--- /dev/null
+++ b/core/quota/allowance.go
@@ -0,0 +1,64 @@
+package quota
+
+import (
+	"cmp"
+	"strings"
+	"time"
+)
+
+const (
+	// fullShards splits a workspace whose burst is large enough, so that the
+	// loss of one owner leaves it most of its rate.
+	fullShards    = 3
+	minSplitBurst = 60
+	// validityShare of the time in which the rate fills the burst is how long a
+	// batch stays valid.
+	validityShare = 0.05
+	minValidity   = 5 * time.Millisecond
+	maxValidity   = 500 * time.Millisecond
+)
+
+// Shard names one part of a workspace's allowance.
+type Shard struct {
+	Workspace string `json:"ws"`
+	Index     int    `json:"i"`
+	Count     int    `json:"n"`
+}
+
+func (s Shard) compare(o Shard) int {
+	return cmp.Or(
+		strings.Compare(s.Workspace, o.Workspace),
+		cmp.Compare(s.Count, o.Count),
+		cmp.Compare(s.Index, o.Index),
+	)
+}
+
+// Allowance is a workspace's declared rate and burst.
+type Allowance struct {
+	Rate  float64 // calls a second
+	Burst int     // calls
+}
+
+// Shards returns the number of parts the allowance is split into.
+func (a Allowance) Shards() int {
+	if a.Burst < minSplitBurst {
+		return 1
+	}
+	return fullShards
+}
+
+// Splits returns every number of parts that Shards may return.
+func Splits() []int { return []int{1, fullShards} }
+
+// Validity returns how long a granted batch may be used.
+func (a Allowance) Validity() time.Duration {
+	fill := time.Duration(validityShare * float64(a.Burst) / a.Rate * float64(time.Second))
+	return min(maxValidity, max(minValidity, fill))
+}
+
+// part returns rate and bucket size of one shard.
+func (a Allowance) part() (rate, size float64) {
+	n := float64(a.Shards())
+	size = float64(a.Burst) - a.Rate*a.Validity().Seconds()
+	return a.Rate / n, size / n
+}
--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,342 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// maxWait is how long a call may wait for a token before it is refused.
+	maxWait = 250 * time.Millisecond
+	// minAskTimeout is the least time after which an unanswered ask is given up.
+	minAskTimeout = 50 * time.Millisecond
+	unownedPause  = 50 * time.Millisecond
+	demandWindow  = 100 * time.Millisecond
+	demandWeight  = 0.3
+	// warmFor keeps a token at hand after the last call of a workspace.
+	warmFor = 5 * time.Second
+	// spareShare of a bucket must be left before tokens are taken in advance.
+	spareShare = 0.5
+)
+
+// Ask is a request for tokens of one shard.
+type Ask struct {
+	ID     uint64 `json:"id"`
+	Shard  Shard  `json:"shard"`
+	Tokens int    `json:"n"`
+}
+
+// Outcome of Take.
+type Outcome uint8
+
+// Outcomes of Take.
+const (
+	Denied Outcome = iota
+	Taken
+	Waiting
+)
+
+type batch struct {
+	tokens  int
+	expires time.Time
+}
+
+type waiter struct {
+	call uint64
+	give time.Time // refused from then on
+}
+
+type view struct {
+	spare float64
+	retry time.Time // ask not before
+	ask   uint64    // outstanding, 0 if none
+	at    time.Time // when it was asked
+	want  int
+}
+
+// pool is what this node holds of one workspace's allowance.
+type pool struct {
+	workspace string
+	allowance Allowance
+	validity  time.Duration
+	batches   []batch
+	waiting   []waiter
+	views     []view
+	count     float64 // calls in the open window
+	demand    float64 // calls a second
+	opened    time.Time
+	active    time.Time
+}
+
+// Holder keeps the tokens granted to this node and the calls that wait for some.
+type Holder struct {
+	pools  map[string]*pool
+	order  []*pool // by name
+	nextID uint64
+	asks   []Ask
+}
+
+// NewHolder returns a holder of nothing.
+func NewHolder() *Holder { return &Holder{pools: map[string]*pool{}} }
+
+// Declare sets a workspace's allowance.
+func (h *Holder) Declare(workspace string, a Allowance) {
+	p, ok := h.pools[workspace]
+	if !ok {
+		p = &pool{workspace: workspace}
+		h.pools[workspace] = p
+		h.sort()
+	}
+	if p.allowance == a {
+		return
+	}
+	p.allowance = a
+	p.validity = a.Validity()
+	p.views = make([]view, a.Shards())
+	for i := range p.views {
+		p.views[i].spare = 1
+	}
+}
+
+// Keep removes the workspaces for which the predicate is false and returns
+// their waiting calls.
+func (h *Holder) Keep(declared func(workspace string) bool) []uint64 {
+	var calls []uint64
+	for _, p := range h.order {
+		if declared(p.workspace) {
+			continue
+		}
+		for _, w := range p.waiting {
+			calls = append(calls, w.call)
+		}
+		delete(h.pools, p.workspace)
+	}
+	h.sort()
+	return calls
+}
+
+func (h *Holder) sort() {
+	h.order = slices.SortedFunc(maps.Values(h.pools), func(a, b *pool) int {
+		return strings.Compare(a.workspace, b.workspace)
+	})
+}
+
+// NextAsk takes out one of the asks that the last operations gave rise to.
+func (h *Holder) NextAsk() (Ask, bool) {
+	n := len(h.asks)
+	if n == 0 {
+		return Ask{}, false
+	}
+	a := h.asks[n-1]
+	h.asks = h.asks[:n-1]
+	return a, true
+}
+
+// Take uses one token for a call, or lets the call wait for one.
+func (h *Holder) Take(now time.Time, workspace string, call uint64, deadline time.Time) Outcome {
+	p, ok := h.pools[workspace]
+	if !ok {
+		return Denied
+	}
+	p.count++
+	p.active = now
+	outcome := p.take(now, call, deadline)
+	h.refill(now, p)
+	return outcome
+}
+
+func (p *pool) take(now time.Time, call uint64, deadline time.Time) Outcome {
+	if len(p.waiting) == 0 && p.use(now) {
+		return Taken
+	}
+	room := max(1, int(p.allowance.Rate*maxWait.Seconds()))
+	if len(p.waiting) >= room {
+		return Denied
+	}
+	give := now.Add(maxWait)
+	if deadline.Before(give) {
+		give = deadline
+	}
+	p.waiting = append(p.waiting, waiter{call: call, give: give})
+	return Waiting
+}
+
+// use takes one token out of the batch that expires first.
+func (p *pool) use(now time.Time) bool {
+	p.prune(now)
+	if len(p.batches) == 0 {
+		return false
+	}
+	p.batches[0].tokens--
+	if p.batches[0].tokens == 0 {
+		p.batches = slices.Delete(p.batches, 0, 1)
+	}
+	return true
+}
+
+func (p *pool) prune(now time.Time) {
+	n := 0
+	for n < len(p.batches) && !now.Before(p.batches[n].expires) {
+		n++
+	}
+	if n > 0 {
+		p.batches = slices.Delete(p.batches, 0, n)
+	}
+}
+
+// Granted takes in an owner's answer and returns the calls that now hold a token.
+func (h *Holder) Granted(now time.Time, a Ask, g Grant, released []uint64) []uint64 {
+	p, ok := h.pools[a.Shard.Workspace]
+	if !ok || a.Shard.Count != len(p.views) || a.Shard.Index >= len(p.views) {
+		return released
+	}
+	v := &p.views[a.Shard.Index]
+	if v.ask != a.ID {
+		return released
+	}
+	v.ask, v.spare = 0, g.Spare
+	if g.Tokens == 0 {
+		v.retry = now.Add(max(g.Retry, time.Millisecond))
+	}
+	expires := v.at.Add(p.validity)
+	if g.Tokens > 0 && now.Before(expires) {
+		p.add(batch{tokens: min(g.Tokens, v.want), expires: expires})
+	}
+	released = p.release(now, released)
+	h.refill(now, p)
+	return released
+}
+
+// add keeps batches in order of expiry.
+func (p *pool) add(b batch) {
+	i := len(p.batches)
+	for i > 0 && p.batches[i-1].expires.After(b.expires) {
+		i--
+	}
+	p.batches = slices.Insert(p.batches, i, b)
+}
+
+func (p *pool) release(now time.Time, released []uint64) []uint64 {
+	n := 0
+	for n < len(p.waiting) && p.use(now) {
+		released = append(released, p.waiting[n].call)
+		n++
+	}
+	p.waiting = slices.Delete(p.waiting, 0, n)
+	return released
+}
+
+// Forget removes a waiting call that its caller gave up.
+func (h *Holder) Forget(workspace string, call uint64) {
+	p, ok := h.pools[workspace]
+	if !ok {
+		return
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return w.call == call })
+}
+
+// Turn does what time brings: it gives up asks without an answer, refreshes the
+// tokens at hand, and returns the calls that have waited too long.
+func (h *Holder) Turn(now time.Time, denied []uint64) []uint64 {
+	for _, p := range h.order {
+		p.measure(now)
+		p.giveUp(now)
+		denied = p.expire(now, denied)
+		h.refill(now, p)
+	}
+	return denied
+}
+
+func (p *pool) measure(now time.Time) {
+	age := now.Sub(p.opened)
+	if age < demandWindow {
+		return
+	}
+	if !p.opened.IsZero() {
+		p.demand += demandWeight * (p.count/age.Seconds() - p.demand)
+	}
+	p.count, p.opened = 0, now
+}
+
+func (p *pool) giveUp(now time.Time) {
+	timeout := max(p.validity, minAskTimeout)
+	for i := range p.views {
+		v := &p.views[i]
+		if v.ask != 0 && now.Sub(v.at) >= timeout {
+			v.ask, v.spare = 0, 0
+			v.retry = now.Add(unownedPause)
+		}
+	}
+}
+
+func (p *pool) expire(now time.Time, denied []uint64) []uint64 {
+	n := 0
+	for n < len(p.waiting) && !now.Before(p.waiting[n].give) {
+		denied = append(denied, p.waiting[n].call)
+		n++
+	}
+	p.waiting = slices.Delete(p.waiting, 0, n)
+	return denied
+}
+
+// refill asks for the tokens that waiting calls need and, while the buckets are
+// well filled, for those that the coming calls will.
+func (h *Holder) refill(now time.Time, p *pool) {
+	pending := 0
+	for _, v := range p.views {
+		if v.ask != 0 {
+			pending += v.want
+		}
+	}
+	if need := len(p.waiting) - pending; need > 0 {
+		h.ask(now, p, need, 0)
+		return
+	}
+	if want := p.lookahead(now) - p.fresh(now) - pending; want > 0 {
+		h.ask(now, p, want, spareShare)
+	}
+}
+
+// lookahead returns the number of tokens to keep at hand.
+func (p *pool) lookahead(now time.Time) int {
+	if p.active.IsZero() || now.Sub(p.active) > warmFor {
+		return 0
+	}
+	want := int(p.demand*p.validity.Seconds()/2) + 1
+	return min(want, max(1, p.allowance.Burst/8))
+}
+
+// fresh returns the tokens that outlive a quarter of the validity.
+func (p *pool) fresh(now time.Time) int {
+	n := 0
+	for _, b := range p.batches {
+		if b.expires.Sub(now) > p.validity/4 {
+			n += b.tokens
+		}
+	}
+	return n
+}
+
+// ask picks the fullest shard that is free to be asked, if its spare share is
+// large enough.
+func (h *Holder) ask(now time.Time, p *pool, n int, spare float64) {
+	best := -1
+	for i, v := range p.views {
+		if v.ask != 0 || now.Before(v.retry) || v.spare < spare {
+			continue
+		}
+		if best < 0 || v.spare > p.views[best].spare {
+			best = i
+		}
+	}
+	if best < 0 {
+		return
+	}
+	h.nextID++
+	v := &p.views[best]
+	v.ask, v.at, v.want = h.nextID, now, n
+	shard := Shard{Workspace: p.workspace, Index: best, Count: len(p.views)}
+	h.asks = append(h.asks, Ask{ID: h.nextID, Shard: shard, Tokens: n})
+}
--- /dev/null
+++ b/core/quota/owner.go
@@ -0,0 +1,102 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Grant is an owner's answer to an ask.
+type Grant struct {
+	Tokens int           `json:"n"`
+	Retry  time.Duration `json:"retry"` // when a token may be free, if Tokens is 0
+	Spare  float64       `json:"spare"` // share of the bucket that is left
+}
+
+// bucket is one shard's token bucket.
+type bucket struct {
+	rate, size float64
+	tokens     float64
+	last       time.Time
+}
+
+func (b *bucket) fill(now time.Time) {
+	if now.After(b.last) {
+		b.tokens = min(b.size, b.tokens+b.rate*now.Sub(b.last).Seconds())
+		b.last = now
+	}
+}
+
+// Owner runs the buckets of the shards whose lease this node holds.
+type Owner struct {
+	buckets map[Shard]*bucket
+	until   time.Time // the lease is certainly held before
+}
+
+// NewOwner returns an owner of nothing.
+func NewOwner() *Owner { return &Owner{buckets: map[Shard]*bucket{}} }
+
+// Acquire starts an empty bucket for a shard. It fills from the moment when
+// every batch of the previous owner is dead.
+func (o *Owner) Acquire(now time.Time, s Shard, a Allowance) {
+	rate, size := a.part()
+	o.buckets[s] = &bucket{rate: rate, size: size, last: now.Add(a.Validity())}
+}
+
+// Adjust follows a changed allowance.
+func (o *Owner) Adjust(now time.Time, s Shard, a Allowance) {
+	b, ok := o.buckets[s]
+	if !ok {
+		return
+	}
+	b.fill(now)
+	b.rate, b.size = a.part()
+	b.tokens = min(b.tokens, b.size)
+}
+
+// Renew extends the lease to the given instant.
+func (o *Owner) Renew(until time.Time) { o.until = until }
+
+// Release gives up one shard and reports whether it was held.
+func (o *Owner) Release(s Shard) bool {
+	_, ok := o.buckets[s]
+	delete(o.buckets, s)
+	return ok
+}
+
+// Shards returns the shards held, in order.
+func (o *Owner) Shards() []Shard {
+	return slices.SortedFunc(maps.Keys(o.buckets), Shard.compare)
+}
+
+// Holds reports whether this node runs the shard's bucket.
+func (o *Owner) Holds(s Shard) bool {
+	_, ok := o.buckets[s]
+	return ok
+}
+
+// Count returns the number of shards held.
+func (o *Owner) Count() int { return len(o.buckets) }
+
+// Unowned is the answer to an ask that no owner can be found for.
+func Unowned() Grant { return Grant{Retry: unownedPause} }
+
+// Grant takes up to n tokens out of a shard's bucket. A shard that is not held,
+// or whose lease has run out, grants nothing.
+func (o *Owner) Grant(now time.Time, s Shard, n int) Grant {
+	b, ok := o.buckets[s]
+	if !ok || !now.Before(o.until) {
+		return Unowned()
+	}
+	b.fill(now)
+	got := min(n, int(b.tokens))
+	b.tokens -= float64(got)
+	g := Grant{Tokens: got, Spare: max(0, b.tokens/b.size)}
+	if got == 0 {
+		need := 1 - b.tokens
+		g.Retry = time.Duration(math.Ceil(need / b.rate * float64(time.Second)))
+		g.Retry += max(0, b.last.Sub(now))
+	}
+	return g
+}
--- /dev/null
+++ b/core/route/endpoint.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	latencyWeight = 0.1
+	// firstBackoff and maxBackoff bound the time an endpoint that cannot be
+	// reached gets no new calls.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// rejectPause keeps calls away from an endpoint that just refused one.
+	rejectPause = 10 * time.Millisecond
+	// slowStart is how long a new endpoint is given less than its full share.
+	slowStart      = 3 * time.Second
+	slowStartFloor = 0.1
+	defaultLatency = 5 * time.Millisecond
+)
+
+// Endpoint is one target behind its node, as seen from here.
+type Endpoint struct {
+	Name     string
+	Service  string
+	Domain   string
+	Node     netip.AddrPort
+	Local    bool // the target beside this node
+	Draining bool
+	Silent   bool
+
+	open     int // calls from here that have not ended
+	latency  time.Duration
+	failures int
+	until    time.Time // no calls before
+	since    time.Time
+}
+
+// Open returns the number of calls from here that have not ended.
+func (e *Endpoint) Open() int { return e.open }
+
+// ready reports whether the endpoint may be given a call now.
+func (e *Endpoint) ready(now time.Time) bool {
+	return !e.Draining && !e.Silent && !now.Before(e.until)
+}
+
+// cost estimates how long one more call would wait here.
+func (e *Endpoint) cost(now time.Time) float64 {
+	latency := e.latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	c := float64(e.open+1) * float64(latency)
+	if age := now.Sub(e.since); age < slowStart {
+		c /= max(slowStartFloor, float64(age)/float64(slowStart))
+	}
+	return c
+}
+
+// Begin counts a call sent to the endpoint.
+func (e *Endpoint) Begin() { e.open++ }
+
+// Answered ends a call that brought an answer after the given time.
+func (e *Endpoint) Answered(took time.Duration) {
+	e.open--
+	e.failures = 0
+	if e.latency == 0 {
+		e.latency = took
+		return
+	}
+	e.latency += time.Duration(latencyWeight * float64(took-e.latency))
+}
+
+// Rejected ends a call that the endpoint refused to run.
+func (e *Endpoint) Rejected(now time.Time) {
+	e.open--
+	e.until = later(e.until, now.Add(rejectPause))
+}
+
+// Canceled ends a call that its caller gave up.
+func (e *Endpoint) Canceled() { e.open-- }
+
+// Failed ends a call whose connection failed and backs off exponentially.
+func (e *Endpoint) Failed(now time.Time) {
+	e.open--
+	pause := maxBackoff
+	if e.failures < 6 {
+		pause = min(maxBackoff, firstBackoff<<e.failures)
+	}
+	e.failures++
+	e.until = later(e.until, now.Add(pause))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,167 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"celeryshelf/core/admit"
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/member"
+	"celeryshelf/core/quota"
+	"celeryshelf/core/retry"
+	"celeryshelf/core/route"
+)
+
+// Settings describe the node whose state is kept.
+type Settings struct {
+	Self  member.Member
+	Seeds []netip.AddrPort // control addresses of nodes to join through
+	Seed  uint64           // starts the pseudo-random choice of gossip partners
+}
+
+// State is everything that one node decides from.
+type State struct {
+	self    member.Member
+	seeds   []netip.AddrPort
+	random  uint64
+	started time.Time
+
+	config  *config
+	calls   map[CallID]*call
+	free    []*call
+	gate    *admit.Gate
+	routes  *route.Table
+	levels  *route.Levels
+	ratio   *retry.Ratio
+	ledger  *retry.Ledger
+	records []*call // calls that wait for a Recorded
+
+	peers   member.Table
+	clocks  map[string]clock
+	contact time.Time // last sign of the store or of a peer
+	store   bool
+
+	owner  *quota.Owner
+	holder *quota.Holder
+	shards map[quota.Shard]string // owner by the store's record
+	claims map[quota.Shard]time.Time
+
+	due struct {
+		sync, claim, sweep time.Time
+	}
+
+	effects  Effects
+	released []uint64
+}
+
+// New returns the state of a node that has just started.
+func New(set Settings) *State {
+	return &State{
+		self:   set.Self,
+		seeds:  set.Seeds,
+		random: set.Seed,
+		calls:  map[CallID]*call{},
+		gate:   admit.NewGate(),
+		routes: route.NewTable(set.Self.Name),
+		levels: route.NewLevels(),
+		ratio:  retry.NewRatio(),
+		ledger: retry.NewLedger(),
+		clocks: map[string]clock{},
+		owner:  quota.NewOwner(),
+		holder: quota.NewHolder(),
+		shards: map[quota.Shard]string{},
+		claims: map[quota.Shard]time.Time{},
+	}
+}
+
+// Step takes in one event and returns what is to be done about it.
+func (s *State) Step(now time.Time, e Event) *Effects {
+	s.effects.reset()
+	if s.started.IsZero() {
+		s.start(now)
+	}
+	switch e := e.(type) {
+	case *Arrive:
+		s.arrive(now, e)
+	case *Finish:
+		s.finish(now, e)
+	case *Fail:
+		s.fail(now, e)
+	case *Cancel:
+		s.cancel(now, e)
+	case *Tick:
+		s.tick(now)
+	case *Received:
+		s.receive(now, e)
+	case *PeerReach:
+		s.reach(now, e)
+	case *Drain:
+		s.drain(now)
+	default:
+		s.platform(now, e)
+	}
+	return &s.effects
+}
+
+func (s *State) start(now time.Time) {
+	s.started, s.contact = now, now
+	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimDelay), now
+	s.routes.Put(now, s.endpoint(s.self, false), false)
+}
+
+// endpoint returns a member as routing sees it.
+func (s *State) endpoint(m member.Member, silent bool) route.Endpoint {
+	return route.Endpoint{
+		Name: m.Name, Service: m.Service, Domain: m.Domain, Node: m.Node,
+		Local: m.Name == s.self.Name, Draining: m.Draining, Silent: silent,
+	}
+}
+
+// next returns a pseudo-random number from the seed (splitmix64).
+func (s *State) next() uint64 {
+	s.random += 0x9e3779b97f4a7c15
+	return mix(s.random)
+}
+
+// mix spreads the bits of a number over the whole word.
+func mix(z uint64) uint64 {
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (s *State) notice(n Notice) {
+	s.effects.Notices = append(s.effects.Notices, n)
+}
+
+// View is a snapshot of the node for its operators.
+type View struct {
+	Self    member.Member
+	Peers   []member.Peer
+	Gate    admit.Stats
+	Calls   int
+	Shards  int
+	Store   bool
+	Version uint64
+}
+
+// View returns a snapshot of the node.
+func (s *State) View() View {
+	return View{
+		Self:    s.self,
+		Peers:   append([]member.Peer(nil), s.peers.All()...),
+		Gate:    s.gate.Stats(),
+		Calls:   len(s.calls),
+		Shards:  s.owner.Count(),
+		Store:   s.store,
+		Version: s.version(),
+	}
+}
+
+// Manifest returns the manifest in force, or nil.
+func (s *State) Manifest() *manifest.Versioned {
+	if s.config == nil {
+		return nil
+	}
+	return &s.config.source
+}
