--- /dev/null
+++ b/internal/agent/status.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/member"
+	"celeryshelf/internal/control"
+	"celeryshelf/io/operator"
+)
+
+// Status returns what the node says of itself and of the fleet.
+func (a *Agent) Status(ctx context.Context) (operator.Status, error) {
+	var view core.View
+	var owners []core.ShardRecord
+	if !a.loop.Inspect(ctx, func(s *core.State) { view, owners = s.View(), s.Owners() }) {
+		return operator.Status{}, control.ErrStopped
+	}
+	out := operator.Status{
+		Self: memberStatus(view.Self), Version: view.Version, Store: view.Store,
+		StoreCalls: a.store.Calls(), SentBytes: a.sent.Get(), CPU: cpuTime().String(),
+		Calls: view.Calls, Held: view.Shards,
+		Gate: operator.Gate{
+			Limit: view.Gate.Limit, Running: view.Gate.Running,
+			Queued: view.Gate.Queued, Service: view.Gate.Service.String(),
+		},
+	}
+	for _, p := range view.Peers {
+		m := memberStatus(p.Member)
+		m.Silent, m.Heard = p.Silent, time.Since(p.Heard).Round(time.Millisecond).String()
+		out.Members = append(out.Members, m)
+	}
+	for _, o := range owners {
+		out.Shards = append(out.Shards, operator.Shard{
+			Workspace: o.Shard.Workspace, Index: o.Shard.Index, Count: o.Shard.Count, Owner: o.Owner,
+		})
+	}
+	return out, nil
+}
+
+func memberStatus(m member.Member) operator.Member {
+	return operator.Member{
+		Name: m.Name, Service: m.Service, Domain: m.Domain, Version: m.Version, Draining: m.Draining,
+	}
+}
+
+// cpuTime returns the processor time the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,141 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryshelf/internal/agent"
+	"celeryshelf/internal/document"
+	"celeryshelf/internal/settings"
+)
+
+// Exit codes of the program.
+const (
+	exitFailed  = 1 // the work could not be done
+	exitInvalid = 2 // the input is at fault and nothing was changed
+)
+
+// New returns the program's command line, which writes to out.
+func New(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "celeryshelf",
+		Usage:                 "overload control for service call graphs",
+		Writer:                out,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			nodeCommand(), checkCommand(out), applyCommand(out), statusCommand(out),
+			drainCommand(out), schemaCommand(out), digestCommand(out), demoCommand(out),
+		},
+	}
+}
+
+// Code returns the exit code for an error of the command line.
+func Code(err error) int {
+	var faults *document.FaultsError
+	var usage *usageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &faults), errors.As(err, &usage):
+		return exitInvalid
+	default:
+		return exitFailed
+	}
+}
+
+// usageError is a mistake in the command's words.
+type usageError struct{ text string }
+
+// Error returns what is wrong.
+func (e *usageError) Error() string { return e.text }
+
+func usagef(format string, args ...any) error {
+	return &usageError{text: fmt.Sprintf(format, args...)}
+}
+
+// oneFile returns the command's only argument.
+func oneFile(c *cli.Command) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", usagef("%s: want exactly one FILE", c.Name)
+	}
+	return c.Args().First(), nil
+}
+
+func address(c *cli.Command, flag string) (netip.AddrPort, error) {
+	at, err := netip.ParseAddrPort(c.String(flag))
+	if err != nil {
+		return at, usagef("--%s: want IP:PORT, not %q", flag, c.String(flag))
+	}
+	return at, nil
+}
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node beside a target until SIGTERM, then drain and exit",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.Read(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			log, err := agent.NewLogger(os.Stderr, s.Log.Level)
+			if err != nil {
+				return err
+			}
+			stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer cancel()
+			a, err := agent.New(ctx, *s, log)
+			if err != nil {
+				return err
+			}
+			return a.Run(stop)
+		},
+	}
+}
+
+func checkCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a manifest and list every fault",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			file, err := oneFile(c)
+			if err != nil {
+				return err
+			}
+			m, err := document.ReadManifest(file)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(out, "%s: ok, %d workspaces, %d services, %d routes\n",
+				file, len(m.Workspaces), len(m.Services), len(m.Routes))
+			return err
+		},
+	}
+}
+
+func schemaCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "schema",
+		Usage:     "print the JSON schema of a document",
+		ArgsUsage: "manifest|settings",
+		Action: func(_ context.Context, c *cli.Command) error {
+			text, err := document.Schema(document.Kind(c.Args().First()))
+			if err != nil {
+				return usagef("schema: want manifest or settings, not %q", c.Args().First())
+			}
+			_, err = out.Write(text)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,321 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/standin"
+	"celeryshelf/io/etcd"
+)
+
+const (
+	demoNetwork = 77 // second octet of the demo's loopback addresses
+	demoRate    = 150.0
+	demoLease   = 10 * time.Second
+	demoGrace   = 1 * time.Second
+	demoTimeout = 3 * time.Second
+	startLimit  = 20 * time.Second
+	// withdrawBound is when a withdrawn key must be refused everywhere.
+	withdrawBound = 2 * time.Second
+	// demoShare of the calls within every workspace's rate must be answered.
+	demoShare = 0.99
+)
+
+func demoCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a small deployment on loopback, with calls through it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "example", Usage: "riverbank or grit", Value: "riverbank"},
+			&cli.DurationFlag{Name: "duration", Usage: "of the load", Value: 6 * time.Second},
+			&cli.BoolFlag{Name: "verbose", Usage: "print the nodes' logs to standard error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			d, m, err := fleet.Example(c.String("example"))
+			if err != nil {
+				return usagef("demo: %s", err)
+			}
+			if c.Duration("duration") < 4*time.Second {
+				return usagef("demo: --duration must be at least 4s")
+			}
+			logs := io.Discard
+			if c.Bool("verbose") {
+				logs = os.Stderr
+			}
+			demo := &demo{out: out, deployment: d, manifest: m, duration: c.Duration("duration"), logs: logs}
+			return demo.run(ctx)
+		},
+	}
+}
+
+// demo is one run of the demonstration.
+type demo struct {
+	out        io.Writer
+	logs       io.Writer
+	deployment fleet.Deployment
+	manifest   manifest.Manifest
+	duration   time.Duration
+
+	plan      fleet.Plan
+	local     *fleet.Local
+	withdrawn string        // workspace whose key is withdrawn
+	withdrew  time.Duration // when, from the start of the load
+	sent      atomic.Int64
+	answered  atomic.Int64
+}
+
+func (d *demo) run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	d.plan = fleet.NewPlan(d.deployment, fleet.Options{Network: demoNetwork, Lease: demoLease, Grace: demoGrace})
+	local, err := fleet.StartLocal(ctx, d.plan, d.logs)
+	if err != nil {
+		return err
+	}
+	d.local = local
+	samples, err := d.exercise(ctx)
+	stop()
+	failures := local.Wait()
+	if err != nil {
+		return err
+	}
+	if err := d.print(samples); err != nil {
+		return err
+	}
+	return d.conclude(samples, failures)
+}
+
+// exercise starts the fleet and sends the load while a key is withdrawn and a
+// node drained.
+func (d *demo) exercise(ctx context.Context) ([]standin.Sample, error) {
+	client := etcd.NewClient(etcd.Config{Addresses: []netip.AddrPort{d.plan.Store}})
+	key := etcd.Layout{Prefix: d.plan.Units[0].Settings.Store.Prefix}.Manifest()
+	if _, err := Apply(ctx, client, key, d.manifest, 0); err != nil {
+		return nil, err
+	}
+	if err := d.ready(ctx); err != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(d.out, "%s: %d nodes ready, sending %.0f calls a second for %s\n",
+		d.deployment.Name, len(d.plan.Units), demoRate, d.duration)
+	leaving := d.plan.Units[0].Settings
+	load := standin.NewLoad(standin.LoadConfig{
+		Entries: d.plan.Entries()[1:], Streams: d.deployment.Streams(demoRate),
+		Duration: d.duration, Seed: 1, Timeout: demoTimeout, Progress: d.count,
+	})
+	start := time.Now()
+	failed := make(chan error, 1)
+	go func() { failed <- d.disturb(ctx, client, key, leaving.Name, start) }()
+	shown := make(chan struct{})
+	go func() { defer close(shown); d.progress(start) }()
+	samples := load.Run(ctx)
+	<-shown
+	return samples, <-failed
+}
+
+// ready waits until every node has the manifest and every shard an owner.
+func (d *demo) ready(ctx context.Context) error {
+	deadline := time.Now().Add(startLimit)
+	for {
+		if d.settled(ctx) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.New("demo: the fleet did not start in time")
+		}
+		time.Sleep(confirmPoll)
+	}
+}
+
+func (d *demo) settled(ctx context.Context) bool {
+	shards := 0
+	for _, key := range d.local.Store.Keys() {
+		if strings.Contains(key, "quota/") {
+			shards++
+		}
+	}
+	if shards < len(d.manifest.Workspaces) {
+		return false
+	}
+	for _, u := range d.plan.Units {
+		s, err := Status(ctx, u.Settings.Listen.Operator)
+		if err != nil || s.Version == 0 || len(s.Members) < len(d.plan.Units)-1 || len(s.Shards) < shards {
+			return false
+		}
+	}
+	return true
+}
+
+// disturb withdraws the last workspace's key and drains a node under load.
+func (d *demo) disturb(ctx context.Context, s Swapper, key, node string, start time.Time) error {
+	time.Sleep(d.duration / 4)
+	next := d.manifest
+	next.Workspaces = slices.Clone(next.Workspaces)
+	last := &next.Workspaces[len(next.Workspaces)-1]
+	last.Keys = nil
+	d.withdrawn = last.Name
+	if _, err := Apply(ctx, s, key, next, 1); err != nil {
+		return err
+	}
+	d.withdrew = time.Since(start)
+	time.Sleep(d.duration / 4)
+	d.local.Drain(node)
+	return nil
+}
+
+func (d *demo) count(s standin.Sample) {
+	d.sent.Add(1)
+	if s.OK() {
+		d.answered.Add(1)
+	}
+}
+
+// progress shows a running count on a terminal.
+func (d *demo) progress(start time.Time) {
+	info, err := os.Stdout.Stat()
+	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
+	for time.Since(start) < d.duration {
+		time.Sleep(min(confirmPoll, d.duration-time.Since(start)))
+		if terminal {
+			_, _ = fmt.Fprintf(d.out, "\r%4.1fs  %d sent, %d answered ", time.Since(start).Seconds(), d.sent.Load(), d.answered.Load())
+		}
+	}
+	if terminal {
+		_, _ = fmt.Fprintln(d.out)
+	}
+}
+
+// tally sums up one workspace.
+type tally struct {
+	workspace string
+	sent      int
+	answered  int
+	crossed   int
+	refused   map[string]int
+	latency   *hdrhistogram.Histogram
+}
+
+const (
+	maxLatency   = time.Minute
+	latencyDigit = 3
+)
+
+func (d *demo) tallies(samples []standin.Sample) []*tally {
+	streams := d.deployment.Streams(demoRate)
+	byName := map[string]*tally{}
+	var order []*tally
+	for _, c := range d.deployment.Callers {
+		t := &tally{
+			workspace: c.Workspace, refused: map[string]int{},
+			latency: hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigit),
+		}
+		byName[c.Workspace] = t
+		order = append(order, t)
+	}
+	for _, s := range samples {
+		t := byName[streams[s.Stream].Workspace]
+		t.add(s)
+	}
+	return order
+}
+
+func (t *tally) add(s standin.Sample) {
+	t.sent++
+	if s.Crossed {
+		t.crossed++
+	}
+	if s.OK() {
+		t.answered++
+		_ = t.latency.RecordValue(s.Latency.Microseconds())
+		return
+	}
+	why := s.Reason
+	if why == "" {
+		why = fmt.Sprintf("status-%d", s.Status)
+	}
+	t.refused[why]++
+}
+
+func (t *tally) reasons() string {
+	var parts []string
+	for why, n := range t.refused {
+		parts = append(parts, fmt.Sprintf("%s %d", why, n))
+	}
+	slices.Sort(parts)
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (t *tally) quantile(q float64) time.Duration {
+	return time.Duration(t.latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func (d *demo) print(samples []standin.Sample) error {
+	w := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "WORKSPACE\tSENT\tANSWERED\tP50\tP99\tNOT ANSWERED")
+	for _, t := range d.tallies(samples) {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\n", t.workspace, t.sent, t.answered,
+			t.quantile(50).Round(time.Millisecond), t.quantile(99).Round(time.Millisecond), t.reasons())
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print summary: %w", err)
+	}
+	return nil
+}
+
+// conclude compares the run with what must hold.
+func (d *demo) conclude(samples []standin.Sample, failures []error) error {
+	streams := d.deployment.Streams(demoRate)
+	sent, answered, crossed, late := 0, 0, 0, 0
+	for _, s := range samples {
+		if s.Crossed {
+			crossed++
+		}
+		open := s.OK() && streams[s.Stream].Workspace == d.withdrawn && s.Start > d.withdrew+withdrawBound
+		if open && !d.open(streams[s.Stream]) {
+			late++
+		}
+		if streams[s.Stream].Workspace == d.withdrawn {
+			continue
+		}
+		sent++
+		if s.OK() {
+			answered++
+		}
+	}
+	share := float64(answered) / float64(max(1, sent))
+	verdict := fmt.Sprintf("%d of %d calls answered, %d crossed, %d answered with a withdrawn key, %d nodes failed",
+		answered, sent, crossed, late, len(failures))
+	if share < demoShare || crossed > 0 || late > 0 || len(failures) > 0 {
+		_, _ = fmt.Fprintln(d.out, "demo: failed", verdict)
+		return errors.Join(append(failures, errors.New("demo failed"))...)
+	}
+	_, err := fmt.Fprintln(d.out, "demo: ok", verdict)
+	return err
+}
+
+// open reports whether a stream's route needs no key.
+func (d *demo) open(s standin.Stream) bool {
+	for _, r := range d.manifest.Routes {
+		if r.Method == s.Method && r.Path == s.Path {
+			return r.Open
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the operators' command line.
+package command
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,316 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/internal/document"
+	"celeryshelf/io/etcd"
+	"celeryshelf/io/operator"
+)
+
+const (
+	statusTimeout = 3 * time.Second
+	confirmPoll   = 100 * time.Millisecond
+)
+
+// ErrConflict is returned when another manifest was applied first.
+var ErrConflict = errors.New("conflict")
+
+func storeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "store", Usage: "`IP:PORT` of the store", Value: "127.0.0.1:2379"},
+		&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the keys in the store", Value: "celeryshelf/"},
+	}
+}
+
+func nodeFlag() cli.Flag {
+	return &cli.StringFlag{Name: "node", Usage: "`IP:PORT` of any node's operator side", Value: "127.0.0.1:8084"}
+}
+
+func applyCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "write a manifest to the store as the next version",
+		ArgsUsage: "FILE",
+		Flags: append(storeFlags(),
+			&cli.Uint64Flag{Name: "base", Usage: "`VERSION` that the manifest was made from, 0 for the first", Required: true},
+			&cli.StringFlag{Name: "node", Usage: "`IP:PORT` of a node to ask which nodes have it in force"},
+			&cli.DurationFlag{Name: "wait", Usage: "how long to wait for confirmations", Value: 8 * time.Second},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			file, err := oneFile(c)
+			if err != nil {
+				return err
+			}
+			m, err := document.ReadManifest(file)
+			if err != nil {
+				return err
+			}
+			at, err := address(c, "store")
+			if err != nil {
+				return err
+			}
+			client := etcd.NewClient(etcd.Config{Addresses: []netip.AddrPort{at}})
+			key := etcd.Layout{Prefix: c.String("prefix")}.Manifest()
+			version, err := Apply(ctx, client, key, *m, c.Uint64("base"))
+			if err != nil {
+				return err
+			}
+			if _, err := fmt.Fprintf(out, "applied: version %d is in the store\n", version); err != nil {
+				return err
+			}
+			if !c.IsSet("node") {
+				return nil
+			}
+			return confirm(ctx, c, out, version)
+		},
+	}
+}
+
+// Swapper is the part of the store that Apply needs.
+type Swapper interface {
+	Get(ctx context.Context, key string) (*etcd.Pair, error)
+	Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error)
+}
+
+// Apply writes a manifest as the version after base. It fails with ErrConflict
+// when the store holds another version. A lost answer is settled by reading back.
+func Apply(ctx context.Context, s Swapper, key string, m manifest.Manifest, base uint64) (uint64, error) {
+	current, revision, err := stored(ctx, s, key)
+	if err != nil {
+		return 0, err
+	}
+	if current.Version != base {
+		return 0, fmt.Errorf("store has version %d, not the base %d: %w", current.Version, base, ErrConflict)
+	}
+	next := manifest.Versioned{Version: base + 1, ID: uuid.NewString(), Manifest: m}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, fmt.Errorf("encode manifest: %w", err)
+	}
+	if len(value) > document.MaxSize {
+		return 0, fmt.Errorf("manifest has %d bytes, the store holds %d: %w", len(value), document.MaxSize, ErrConflict)
+	}
+	swapped, swapErr := s.Swap(ctx, key, revision, value)
+	if swapErr == nil && swapped {
+		return next.Version, nil
+	}
+	return settle(ctx, s, key, next, swapErr)
+}
+
+// settle reads back what became of a write without a clear answer.
+func settle(ctx context.Context, s Swapper, key string, next manifest.Versioned, cause error) (uint64, error) {
+	found, _, err := stored(ctx, s, key)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("outcome unknown, read the store before applying again: %w", errors.CombineErrors(err, cause))
+	case found.ID == next.ID:
+		return next.Version, nil
+	case found.Version >= next.Version:
+		return 0, fmt.Errorf("version %d was applied by another: %w", found.Version, ErrConflict)
+	default:
+		return 0, fmt.Errorf("not applied: %w", errors.CombineErrors(cause, ErrConflict))
+	}
+}
+
+func stored(ctx context.Context, s Swapper, key string) (manifest.Versioned, int64, error) {
+	var v manifest.Versioned
+	pair, err := s.Get(ctx, key)
+	if err != nil {
+		return v, 0, fmt.Errorf("read manifest: %w", err)
+	}
+	if pair == nil {
+		return v, 0, nil
+	}
+	if err := json.Unmarshal(pair.Value, &v); err != nil {
+		return v, 0, fmt.Errorf("decode stored manifest: %w", err)
+	}
+	return v, pair.ModRevision, nil
+}
+
+// confirm waits until every node has confirmed a version, and says which have.
+func confirm(ctx context.Context, c *cli.Command, out io.Writer, version uint64) error {
+	at, err := address(c, "node")
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(c.Duration("wait"))
+	for {
+		s, err := Status(ctx, at)
+		if err == nil {
+			behind := Behind(s, version)
+			if len(behind) == 0 {
+				_, err := fmt.Fprintf(out, "in force: confirmed by %d nodes\n", len(s.Members)+1)
+				return err
+			}
+			err = fmt.Errorf("not confirmed by %s", strings.Join(behind, ", "))
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("version %d: %w", version, errors.CombineErrors(err, errors.New("not confirmed in time")))
+		}
+		time.Sleep(confirmPoll)
+	}
+}
+
+// Behind returns the members that have not confirmed a version, silent ones marked.
+func Behind(s operator.Status, version uint64) []string {
+	var out []string
+	for _, m := range append([]operator.Member{s.Self}, s.Members...) {
+		if m.Version >= version || m.Draining {
+			continue
+		}
+		name := m.Name
+		if m.Silent {
+			name += " (silent)"
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// Status asks a node's operator side for its status.
+func Status(ctx context.Context, at netip.AddrPort) (operator.Status, error) {
+	var s operator.Status
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	res, err := send(ctx, http.MethodGet, at, "/status")
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := json.NewDecoder(res.Body).Decode(&s); err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	return s, nil
+}
+
+func send(ctx context.Context, method string, at netip.AddrPort, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask node: %w", err)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("ask node: %s", res.Status)
+	}
+	return res, nil
+}
+
+func statusCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the fleet as one node sees it",
+		Flags: []cli.Flag{nodeFlag(), &cli.BoolFlag{Name: "json", Usage: "print the whole status as JSON"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			at, err := address(c, "node")
+			if err != nil {
+				return err
+			}
+			s, err := Status(ctx, at)
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				enc := json.NewEncoder(out)
+				enc.SetIndent("", "  ")
+				return enc.Encode(s)
+			}
+			return printStatus(out, s)
+		},
+	}
+}
+
+func printStatus(out io.Writer, s operator.Status) error {
+	store := "away"
+	if s.Store {
+		store = "up"
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "manifest\tversion %d\nstore\t%s\ncalls\t%d\n", s.Version, store, s.Calls)
+	_, _ = fmt.Fprintf(w, "target\tlimit %.0f, running %d, queued %d, service %s\n\n", s.Gate.Limit, s.Gate.Running, s.Gate.Queued, s.Gate.Service)
+	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tDOMAIN\tCONFIRMED\tSTATE\tHEARD")
+	for _, m := range append([]operator.Member{s.Self}, s.Members...) {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", m.Name, m.Service, m.Domain, m.Version, state(m), m.Heard)
+	}
+	_, _ = fmt.Fprintln(w, "\nWORKSPACE\tSHARD\tOWNER")
+	for _, o := range s.Shards {
+		_, _ = fmt.Fprintf(w, "%s\t%d of %d\t%s\n", o.Workspace, o.Index+1, o.Count, o.Owner)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print status: %w", err)
+	}
+	return nil
+}
+
+func state(m operator.Member) string {
+	switch {
+	case m.Silent:
+		return "silent"
+	case m.Draining:
+		return "draining"
+	default:
+		return "live"
+	}
+}
+
+func drainCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "have a node finish its calls and leave",
+		Flags: []cli.Flag{nodeFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			at, err := address(c, "node")
+			if err != nil {
+				return err
+			}
+			res, err := send(ctx, http.MethodPost, at, "/drain")
+			if err != nil {
+				return err
+			}
+			_ = res.Body.Close()
+			_, err = fmt.Fprintln(out, "draining")
+			return err
+		},
+	}
+}
+
+func digestCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "digest",
+		Usage: "read a key from standard input and print its digest for the manifest",
+		Action: func(context.Context, *cli.Command) error {
+			text, err := io.ReadAll(io.LimitReader(os.Stdin, document.MaxSize))
+			if err != nil {
+				return fmt.Errorf("read key: %w", err)
+			}
+			key := strings.TrimSpace(string(text))
+			if key == "" {
+				return usagef("digest: no key on standard input")
+			}
+			d, err := manifest.DigestOf(key).MarshalText()
+			if err != nil {
+				return fmt.Errorf("write digest: %w", err)
+			}
+			_, err = fmt.Fprintf(out, "%s\n", d)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/manifest"
+)
+
+const (
+	inboxSize  = 8192
+	tickPeriod = 10 * time.Millisecond
+)
+
+// Messenger sends messages to peers; it must not block.
+type Messenger interface {
+	Send(e core.Envelope)
+}
+
+// Registrar carries out operations on the store; it must not block.
+type Registrar interface {
+	Submit(r core.Request)
+}
+
+// Observer is told what was decided; it must not block.
+type Observer interface {
+	Verdict(v core.Verdict)
+	Notice(n core.Notice)
+	InForce(m *manifest.Versioned)
+}
+
+// Config holds what a Loop is made of.
+type Config struct {
+	State     *core.State
+	Messenger Messenger
+	Registrar Registrar
+	Observer  Observer
+}
+
+type item struct {
+	event   core.Event
+	ticket  *Ticket
+	inspect func(s *core.State)
+}
+
+// Loop is the control goroutine's queue and what it hands effects to.
+type Loop struct {
+	Config
+	inbox   chan item
+	tickets map[core.CallID]*Ticket
+	done    chan struct{}
+}
+
+// New returns a loop that Run is yet to start.
+func New(c Config) *Loop {
+	return &Loop{
+		Config:  c,
+		inbox:   make(chan item, inboxSize),
+		tickets: map[core.CallID]*Ticket{},
+		done:    make(chan struct{}),
+	}
+}
+
+// Run takes in events until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	tick := &core.Tick{}
+	for {
+		select {
+		case it := <-l.inbox:
+			l.handle(it)
+		case <-ticker.C:
+			l.apply(l.State.Step(time.Now(), tick))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Post queues an event and reports whether the loop still takes any.
+func (l *Loop) Post(e core.Event) bool { return l.put(item{event: e}) }
+
+// Inspect runs a function on the state in the control goroutine and waits for
+// it. It reports false when the loop has ended or the context did.
+func (l *Loop) Inspect(ctx context.Context, f func(s *core.State)) bool {
+	ran := make(chan struct{})
+	if !l.put(item{inspect: func(s *core.State) { f(s); close(ran) }}) {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *Loop) put(it item) bool {
+	select {
+	case l.inbox <- it:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *Loop) handle(it item) {
+	if it.inspect != nil {
+		it.inspect(l.State)
+		return
+	}
+	if it.ticket != nil {
+		l.tickets[it.ticket.arrive.Call] = it.ticket
+	}
+	effects := l.State.Step(time.Now(), it.event)
+	l.apply(effects)
+	switch e := it.event.(type) {
+	case *core.Cancel:
+		delete(l.tickets, e.Call)
+	case *core.Finish:
+		delete(l.tickets, e.Call)
+	}
+}
+
+func (l *Loop) apply(e *core.Effects) {
+	for i := range e.Verdicts {
+		l.deliver(&e.Verdicts[i])
+	}
+	for _, m := range e.Envelopes {
+		l.Messenger.Send(m)
+	}
+	for _, r := range e.Requests {
+		l.Registrar.Submit(r)
+	}
+	if e.InForce != nil {
+		l.Observer.InForce(e.InForce)
+	}
+	for _, n := range e.Notices {
+		l.Observer.Notice(n)
+	}
+}
+
+func (l *Loop) deliver(v *core.Verdict) {
+	l.Observer.Verdict(*v)
+	t, ok := l.tickets[v.Call]
+	if !ok {
+		return
+	}
+	t.verdicts <- *v
+	if v.Action == core.Refuse || v.Action == core.Replay || v.Action == core.Settle {
+		delete(l.tickets, v.Call)
+	}
+}
--- /dev/null
+++ b/internal/control/ticket.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryshelf/core"
+)
+
+// ErrStopped is returned once the control loop has ended.
+var ErrStopped = errors.New("control loop has ended")
+
+// ticketRoom holds every verdict that can be on its way to one call at a time.
+const ticketRoom = 2
+
+// Ticket is one call's side of the control loop.
+type Ticket struct {
+	loop     *Loop
+	verdicts chan core.Verdict
+	arrive   core.Arrive
+	fail     core.Fail
+	finish   core.Finish
+	cancel   core.Cancel
+}
+
+// Begin posts the arrival of a call.
+func (l *Loop) Begin(a core.Arrive) *Ticket {
+	t := &Ticket{loop: l, verdicts: make(chan core.Verdict, ticketRoom), arrive: a}
+	l.put(item{event: &t.arrive, ticket: t})
+	return t
+}
+
+// Next waits for the next verdict. If the context ends first, the call is
+// canceled and the context's error returned.
+func (t *Ticket) Next(ctx context.Context) (core.Verdict, error) {
+	select {
+	case v := <-t.verdicts:
+		return v, nil
+	case <-ctx.Done():
+		t.Cancel()
+		return core.Verdict{}, ctx.Err()
+	case <-t.loop.done:
+		return core.Verdict{}, ErrStopped
+	}
+}
+
+// Fail posts that an attempt brought no answer.
+func (t *Ticket) Fail(f core.Fail) {
+	t.fail = f
+	t.fail.Call = t.arrive.Call
+	t.loop.put(item{event: &t.fail})
+}
+
+// Finish posts that the answer was passed on.
+func (t *Ticket) Finish(f core.Finish) {
+	t.finish = f
+	t.finish.Call = t.arrive.Call
+	t.loop.put(item{event: &t.finish})
+}
+
+// Cancel posts that the sender has given the call up.
+func (t *Ticket) Cancel() {
+	t.cancel.Call = t.arrive.Call
+	t.loop.put(item{event: &t.cancel})
+}
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,150 @@
+package document
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"celeryshelf/core/manifest"
+)
+
+// MaxSize is the largest document that is read, in bytes; the store holds no
+// larger value.
+const MaxSize = 1 << 20
+
+// Kind names a document with a schema.
+type Kind string
+
+// Kinds of documents.
+const (
+	Manifest Kind = "manifest"
+	Settings Kind = "settings"
+)
+
+//go:embed *.schema.json
+var schemas embed.FS
+
+// Schema returns the JSON schema of a kind.
+func Schema(k Kind) ([]byte, error) {
+	b, err := schemas.ReadFile(string(k) + ".schema.json")
+	if err != nil {
+		return nil, fmt.Errorf("schema %q: %w", k, err)
+	}
+	return b, nil
+}
+
+// FaultsError lists every fault of one document.
+type FaultsError struct {
+	File   string
+	Faults []manifest.Fault
+}
+
+// Error puts each fault on a line of its own, with file, place and rule.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, e.File+":"+f.Path+": "+f.Rule)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Read reads a file and decodes it strictly into out.
+func Read(file string, k Kind, out any) error {
+	info, err := os.Stat(file)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", k, err)
+	}
+	if info.Size() > MaxSize {
+		return fault(file, fmt.Sprintf("document has %d bytes, at most %d are allowed", info.Size(), MaxSize))
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", k, err)
+	}
+	return Decode(file, data, k, out)
+}
+
+// Decode decodes a document strictly into out. The file's name is for errors only.
+func Decode(file string, data []byte, k Kind, out any) error {
+	if len(data) > MaxSize {
+		return fault(file, fmt.Sprintf("document has %d bytes, at most %d are allowed", len(data), MaxSize))
+	}
+	instance, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return fault(file, "not valid JSON: "+err.Error())
+	}
+	schema, err := compile(k)
+	if err != nil {
+		return err
+	}
+	if err := schema.Validate(instance); err != nil {
+		var invalid *jsonschema.ValidationError
+		if errors.As(err, &invalid) {
+			return &FaultsError{File: file, Faults: leaves(invalid)}
+		}
+		return fmt.Errorf("validate %s: %w", file, err)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fault(file, err.Error())
+	}
+	return nil
+}
+
+func fault(file, rule string) error {
+	return &FaultsError{File: file, Faults: []manifest.Fault{{Path: "/", Rule: rule}}}
+}
+
+func compile(k Kind) (*jsonschema.Schema, error) {
+	text, err := Schema(k)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, fmt.Errorf("read schema %q: %w", k, err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(string(k), doc); err != nil {
+		return nil, fmt.Errorf("add schema %q: %w", k, err)
+	}
+	s, err := c.Compile(string(k))
+	if err != nil {
+		return nil, fmt.Errorf("compile schema %q: %w", k, err)
+	}
+	return s, nil
+}
+
+// leaves flattens a validation error into faults in document order.
+func leaves(e *jsonschema.ValidationError) []manifest.Fault {
+	if len(e.Causes) == 0 {
+		rule := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+		return []manifest.Fault{{Path: "/" + strings.Join(e.InstanceLocation, "/"), Rule: rule}}
+	}
+	var out []manifest.Fault
+	for _, c := range e.Causes {
+		out = append(out, leaves(c)...)
+	}
+	slices.SortStableFunc(out, func(a, b manifest.Fault) int { return strings.Compare(a.Path, b.Path) })
+	return out
+}
+
+// ReadManifest reads and checks a manifest.
+func ReadManifest(file string) (*manifest.Manifest, error) {
+	var m manifest.Manifest
+	if err := Read(file, Manifest, &m); err != nil {
+		return nil, err
+	}
+	if faults := m.Check(); len(faults) > 0 {
+		return nil, &FaultsError{File: file, Faults: faults}
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"path"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/examples"
+	"celeryshelf/internal/document"
+	"celeryshelf/internal/settings"
+	"celeryshelf/internal/standin"
+)
+
+// Service describes the targets of one service.
+type Service struct {
+	Name       string              `json:"name"`
+	Endpoints  int                 `json:"endpoints"`
+	Slots      int                 `json:"slots"`
+	Queue      int                 `json:"queue"`
+	Behaviours []standin.Behaviour `json:"behaviours"`
+}
+
+// Caller is a workspace's part of the load.
+type Caller struct {
+	Workspace string  `json:"workspace"`
+	Key       string  `json:"key"`
+	Share     float64 `json:"share"`
+}
+
+// Flow is a route's part of the load.
+type Flow struct {
+	Method    string  `json:"method"`
+	Path      string  `json:"path"`
+	Share     float64 `json:"share"`
+	Important bool    `json:"important,omitempty"`
+	Once      bool    `json:"once,omitempty"`
+}
+
+// Deployment is an example: its targets and its callers.
+type Deployment struct {
+	Name     string    `json:"name"`
+	Region   string    `json:"region"`
+	Domains  []string  `json:"domains"`
+	Services []Service `json:"services"`
+	Callers  []Caller  `json:"callers"`
+	Load     []Flow    `json:"load"`
+}
+
+// Example reads an example by name.
+func Example(name string) (Deployment, manifest.Manifest, error) {
+	var d Deployment
+	var m manifest.Manifest
+	data, err := examples.Files.ReadFile(path.Join(name, "deployment.json"))
+	if err != nil {
+		return d, m, fmt.Errorf("example %q: %w", name, err)
+	}
+	if err := json.Unmarshal(data, &d); err != nil {
+		return d, m, fmt.Errorf("example %q: %w", name, err)
+	}
+	text, err := examples.Files.ReadFile(path.Join(name, "manifest.json"))
+	if err != nil {
+		return d, m, fmt.Errorf("example %q: %w", name, err)
+	}
+	if err := document.Decode(path.Join(name, "manifest.json"), text, document.Manifest, &m); err != nil {
+		return d, m, err
+	}
+	return d, m, nil
+}
+
+// Streams spreads a total rate over the example's callers and flows.
+func (d Deployment) Streams(total float64) []standin.Stream {
+	var out []standin.Stream
+	for _, c := range d.Callers {
+		for _, f := range d.Load {
+			out = append(out, standin.Stream{
+				Workspace: c.Workspace, Key: c.Key, Method: f.Method, Path: f.Path,
+				Rate: total * c.Share * f.Share, Important: f.Important, Once: f.Once,
+			})
+		}
+	}
+	return out
+}
+
+// Unit is one VM: a node and its target.
+type Unit struct {
+	Settings settings.Settings
+	Target   standin.TargetConfig
+}
+
+// Plan is a deployment with its addresses.
+type Plan struct {
+	Store netip.AddrPort
+	Units []Unit
+}
+
+// Ports of every VM, which has a loopback address of its own.
+const (
+	portCaller   = 8080
+	portOutgoing = 8081
+	portNode     = 8082
+	portControl  = 8083
+	portOperator = 8084
+	portTarget   = 9000
+	portStore    = 2379
+)
+
+// Options adjust a plan.
+type Options struct {
+	Network byte // second octet of the loopback addresses
+	Lease   time.Duration
+	Grace   time.Duration
+	Cold    time.Duration
+}
+
+// NewPlan gives every endpoint of a deployment an address and a domain.
+func NewPlan(d Deployment, o Options) Plan {
+	at := func(service, endpoint byte, port uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, o.Network, service, endpoint}), port)
+	}
+	p := Plan{Store: at(0, 1, portStore)}
+	n := 0
+	for i, s := range d.Services {
+		for k := range s.Endpoints {
+			x, y := byte(i+1), byte(k+1)
+			set := settings.Defaults()
+			set.Name = fmt.Sprintf("%s-%d", s.Name, k+1)
+			set.Service, set.Region = s.Name, d.Region
+			set.Domain = d.Domains[n%len(d.Domains)]
+			set.Listen = settings.Listen{
+				Caller: at(x, y, portCaller), Outgoing: at(x, y, portOutgoing), Node: at(x, y, portNode),
+				Control: at(x, y, portControl), Operator: at(x, y, portOperator),
+			}
+			set.Target = at(x, y, portTarget)
+			set.Store.Addresses = []netip.AddrPort{p.Store}
+			set.Store.Lease.Duration = o.Lease
+			set.Grace.Duration = o.Grace
+			p.Units = append(p.Units, Unit{Settings: set, Target: standin.TargetConfig{
+				Name: set.Name, Listen: set.Target, Outgoing: set.Listen.Outgoing,
+				Slots: s.Slots, Queue: s.Queue, Cold: manifest.Duration{Duration: o.Cold}, Behaviours: s.Behaviours,
+			}})
+			n++
+		}
+	}
+	for i := range p.Units {
+		p.Units[i].Settings.Peers = []netip.AddrPort{
+			p.Units[0].Settings.Listen.Control, p.Units[len(p.Units)-1].Settings.Listen.Control,
+		}
+	}
+	return p
+}
+
+// Entries returns the addresses at which callers reach the nodes.
+func (p Plan) Entries() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, u := range p.Units {
+		out = append(out, u.Settings.Listen.Caller)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/body.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// maxBuffered is the largest request that is held to be sent again, in bytes.
+const maxBuffered = 64 << 10
+
+// body is a request's body: held whole if it is small, else read as it is sent.
+type body struct {
+	held       []byte
+	stream     io.ReadCloser
+	length     int64
+	replayable bool
+}
+
+// openBody reads a small body whole and fails if it stops half-way.
+func openBody(req *http.Request) (body, error) {
+	if req.Body == nil || req.Body == http.NoBody || req.ContentLength == 0 {
+		return body{replayable: true}, nil
+	}
+	if req.ContentLength < 0 || req.ContentLength > maxBuffered {
+		return body{stream: req.Body, length: req.ContentLength}, nil
+	}
+	held := make([]byte, req.ContentLength)
+	if _, err := io.ReadFull(req.Body, held); err != nil {
+		return body{}, fmt.Errorf("read body: %w", err)
+	}
+	return body{held: held, length: req.ContentLength, replayable: true}, nil
+}
+
+// attach gives the body to an outgoing request.
+func (b body) attach(out *http.Request) {
+	switch {
+	case b.stream != nil:
+		out.Body = b.stream
+	case len(b.held) > 0:
+		out.Body = io.NopCloser(bytes.NewReader(b.held))
+	default:
+		out.Body = http.NoBody
+	}
+	out.ContentLength = b.length
+}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,280 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"celeryshelf/core"
+	"celeryshelf/internal/control"
+	"celeryshelf/io/node"
+)
+
+// exchange is one call on its way through the node.
+type exchange struct {
+	*Relay
+	w       http.ResponseWriter
+	req     *http.Request
+	ctx     context.Context
+	span    trace.Span
+	body    body
+	ticket  *control.Ticket
+	refuser Refuser
+	secret  string
+	origin  core.Origin
+
+	held    *http.Response // a failed answer that may yet be passed on
+	release context.CancelFunc
+	verdict core.Verdict
+}
+
+// follow acts on verdicts until the call has ended.
+func (x *exchange) follow() {
+	defer x.drop()
+	for {
+		v, err := x.ticket.Next(x.ctx)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		x.verdict = v
+		switch v.Action {
+		case core.Refuse:
+			x.refuse(v)
+			return
+		case core.Replay:
+			x.replay(v)
+			return
+		case core.Deliver:
+			x.deliver()
+			return
+		case core.Run, core.Forward:
+			x.drop()
+			if !x.attempt(v) {
+				return
+			}
+		case core.Settle:
+			return
+		}
+	}
+}
+
+// drop closes an answer that is not passed on.
+func (x *exchange) drop() {
+	if x.held != nil {
+		_ = x.held.Body.Close()
+		x.held = nil
+	}
+	if x.release != nil {
+		x.release()
+		x.release = nil
+	}
+}
+
+func (x *exchange) refuse(v core.Verdict) {
+	if x.span.IsRecording() {
+		x.span.SetAttributes(attribute.String("reason", v.Reason.String()), attribute.String("ran", v.Ran.String()))
+	}
+	x.refuser.Refuse(x.w, v)
+}
+
+func (x *exchange) replay(v core.Verdict) {
+	ans, ok := x.kept.get(v.Of)
+	if !ok {
+		v.Reason, v.Ran = core.Duplicate, core.RanUnknown
+		x.refuse(v)
+		return
+	}
+	copyInto(x.w.Header(), ans.header)
+	if x.origin == core.FromNode {
+		node.SetOutcome(x.w.Header(), "", node.Outcome{Level: v.Level, Unspent: v.Unspent})
+	}
+	x.w.WriteHeader(ans.status)
+	_, _ = x.w.Write(ans.body)
+}
+
+// attempt sends the call on and reports whether another verdict is to come.
+func (x *exchange) attempt(v core.Verdict) bool {
+	ctx, cancel := context.WithDeadline(x.ctx, v.Deadline)
+	x.release = cancel
+	connected := false
+	out := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}), v)
+	transport := x.Local
+	if v.Action == core.Forward {
+		transport = x.Nodes
+	}
+	res, err := transport.RoundTrip(out) //nolint:bodyclose // drop or deliver closes it
+	if err != nil {
+		x.failed(ctx, connected)
+		return true
+	}
+	x.held = res
+	if v.Action == core.Forward {
+		if why, ran, refused := node.Refusal(res.Header); refused {
+			o := node.TakeOutcome(res.Header)
+			x.ticket.Fail(core.Fail{Cause: core.Rejected, Ran: ran, Reason: why, Level: o.Level, Unspent: o.Unspent})
+			return true
+		}
+	}
+	if x.shed() && x.origin != core.FromNode && x.body.replayable {
+		x.ticket.Fail(core.Fail{Cause: core.Shed, Ran: core.RanUnknown})
+		return true
+	}
+	x.deliver()
+	return false
+}
+
+// shed reports whether the target itself refused the call as overloaded.
+func (x *exchange) shed() bool { return x.held.StatusCode == http.StatusServiceUnavailable }
+
+// failed reports an attempt without an answer. The call has not run if there was
+// never a connection for it.
+func (x *exchange) failed(ctx context.Context, connected bool) {
+	if x.ctx.Err() != nil {
+		x.ticket.Cancel()
+		panic(http.ErrAbortHandler)
+	}
+	f := core.Fail{Cause: core.Unreachable, Ran: core.RanNo}
+	if connected {
+		f.Cause, f.Ran = core.Broken, core.RanUnknown
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		f.Cause = core.TimedOut
+	}
+	x.ticket.Fail(f)
+}
+
+// outgoing builds the request of one attempt.
+func (x *exchange) outgoing(ctx context.Context, v core.Verdict) *http.Request {
+	u := &url.URL{Scheme: "http", Path: x.req.URL.Path, RawPath: x.req.URL.RawPath, RawQuery: x.req.URL.RawQuery}
+	h := copyHeader(x.req.Header)
+	delete(h, "Expect")
+	if x.origin != core.FromNode {
+		scrub(h, u, x.secret, x.Router)
+	}
+	propagator.Inject(trace.ContextWithSpan(ctx, x.span), propagation.HeaderCarrier(h))
+	if v.Action == core.Forward {
+		u.Host = v.Address.String()
+		node.SetPass(h, v.Pass)
+	} else {
+		u.Host = x.Target.String()
+		h[node.HeaderTimeout] = []string{time.Until(v.Deadline).Round(time.Millisecond).String()}
+	}
+	out := (&http.Request{
+		Method: x.req.Method, URL: u, Host: x.req.Host, Header: h,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	x.body.attach(out)
+	single(out)
+	return out
+}
+
+// deliver passes the answer in hand on, whole or not at all.
+func (x *exchange) deliver() {
+	res := x.held
+	x.held = nil
+	defer func() { _ = res.Body.Close() }()
+	copyInto(x.w.Header(), copyHeader(res.Header))
+	for name := range res.Trailer {
+		x.w.Header().Add("Trailer", name)
+	}
+	x.w.WriteHeader(res.StatusCode)
+	rec := x.recorder()
+	err := x.stream(res, rec)
+	o := node.TakeOutcome(res.Trailer)
+	for name, values := range res.Trailer {
+		x.w.Header()[http.TrailerPrefix+name] = values
+	}
+	if err == nil && rec != nil && !rec.dropped {
+		x.kept.put(x.verdict.Call, answer{status: res.StatusCode, header: copyHeader(res.Header), body: rec.body})
+	}
+	x.ticket.Finish(core.Finish{
+		Whole:  err == nil,
+		Failed: res.StatusCode >= http.StatusInternalServerError,
+		Shed:   res.StatusCode == http.StatusServiceUnavailable,
+		Level:  o.Level, Unspent: o.Unspent,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	x.settle()
+}
+
+// settle sends the call's outcome to the node that it came from.
+func (x *exchange) settle() {
+	if x.origin != core.FromNode {
+		return
+	}
+	v, err := x.ticket.Next(x.ctx)
+	if err != nil {
+		return
+	}
+	node.SetOutcome(x.w.Header(), http.TrailerPrefix, node.Outcome{Level: v.Level, Unspent: v.Unspent})
+}
+
+// recorder returns where to keep the answer, if repeats may ask for it.
+func (x *exchange) recorder() *recorder {
+	if x.verdict.Action != core.Run || x.verdict.Pass.Repeat == 0 {
+		return nil
+	}
+	return &recorder{}
+}
+
+const copyBuffer = 32 << 10
+
+// stream copies the body and flushes each piece if its length is not known.
+func (x *exchange) stream(res *http.Response, rec *recorder) error {
+	if res.ContentLength == 0 {
+		return nil
+	}
+	var sink io.Writer = x.w
+	if rec != nil {
+		sink = io.MultiWriter(x.w, rec)
+	}
+	if res.ContentLength > 0 {
+		buf := make([]byte, min(copyBuffer, res.ContentLength))
+		_, err := io.CopyBuffer(writerOnly{sink}, res.Body, buf)
+		return err
+	}
+	return x.streamFlushed(res.Body, sink)
+}
+
+func (x *exchange) streamFlushed(from io.Reader, sink io.Writer) error {
+	flusher := http.NewResponseController(x.w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if _, werr := sink.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if err == nil {
+				_ = flusher.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writerOnly hides ReadFrom, so that CopyBuffer uses the buffer it is given.
+type writerOnly struct{ io.Writer }
+
+func copyInto(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+}
--- /dev/null
+++ b/internal/relay/header.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+
+	"celeryshelf/io/node"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings",
+}
+
+// copyHeader returns the end-to-end headers of h, without the system's own.
+func copyHeader(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	named := connectionNames(h)
+	for name, values := range h {
+		if strings.HasPrefix(name, node.HeaderPrefix) || named[name] {
+			continue
+		}
+		out[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(out, name)
+	}
+	return out
+}
+
+// connectionNames returns the headers that the Connection header lists.
+func connectionNames(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if named == nil {
+				named = map[string]bool{}
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/relay/secret.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"celeryshelf/core/manifest"
+)
+
+// keyHeaders may carry a caller's key and never reach a target, whatever they hold.
+var keyHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Apikey"}
+
+// Secret returns the key that came with a request, as a bearer token or in X-Api-Key.
+func Secret(h http.Header) (string, bool) {
+	if scheme, token, ok := strings.Cut(h.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
+		return strings.TrimSpace(token), true
+	}
+	if key := h.Get("X-Api-Key"); key != "" {
+		return strings.TrimSpace(key), true
+	}
+	return "", false
+}
+
+// KeyRing tells whether a digest is that of a key in force.
+type KeyRing interface {
+	Known(d manifest.Digest) bool
+}
+
+// scrub removes every trace of a key from the headers and the query of a request
+// that goes on to a target.
+func scrub(h http.Header, u *url.URL, secret string, ring KeyRing) {
+	for _, name := range keyHeaders {
+		delete(h, name)
+	}
+	for name, values := range h {
+		for _, v := range values {
+			if holdsKey(v, secret, ring) {
+				delete(h, name)
+				break
+			}
+		}
+	}
+	if u.RawQuery == "" {
+		return
+	}
+	u.RawQuery = scrubQuery(u.RawQuery, secret, ring)
+}
+
+// scrubQuery drops the pairs that hold a key and leaves the others as they are.
+func scrubQuery(raw, secret string, ring KeyRing) string {
+	kept := make([]string, 0, strings.Count(raw, "&")+1)
+	for pair := range strings.SplitSeq(raw, "&") {
+		text, err := url.QueryUnescape(pair)
+		if err != nil {
+			text = pair
+		}
+		_, value, _ := strings.Cut(text, "=")
+		if holdsKey(value, secret, ring) || secret != "" && strings.Contains(text, secret) {
+			continue
+		}
+		kept = append(kept, pair)
+	}
+	return strings.Join(kept, "&")
+}
+
+// holdsKey reports whether a value contains the presented secret, or is itself,
+// or ends in, any key in force.
+func holdsKey(value, secret string, ring KeyRing) bool {
+	if secret != "" && strings.Contains(value, secret) {
+		return true
+	}
+	if ring.Known(manifest.DigestOf(value)) {
+		return true
+	}
+	if i := strings.LastIndexAny(value, " ="); i >= 0 {
+		return ring.Known(manifest.DigestOf(value[i+1:]))
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings defines a node's settings file and its defaults.
+package settings
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,273 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"celeryshelf/core/manifest"
+)
+
+// RootHeader names the root call in every call of its tree.
+const RootHeader = "X-Root"
+
+// Child is a call that a target makes while it runs one.
+type Child struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// Behaviour is what a target does for one path.
+type Behaviour struct {
+	Path     string            `json:"path"`
+	Time     manifest.Duration `json:"time"` // service time, children apart
+	Children []Child           `json:"children,omitempty"`
+	Size     int               `json:"size,omitempty"`  // bytes of the answer
+	Tries    int               `json:"tries,omitempty"` // attempts at a child, 1 if 0
+}
+
+// TargetConfig describes a target stand-in.
+type TargetConfig struct {
+	Name       string            `json:"name"`
+	Listen     netip.AddrPort    `json:"listen"`
+	Outgoing   netip.AddrPort    `json:"outgoing"` // its node, for its own calls
+	Slots      int               `json:"slots"`
+	Queue      int               `json:"queue"` // calls that may wait for a slot before more are shed
+	Cold       manifest.Duration `json:"cold"`  // time after the start in which it is slow
+	Behaviours []Behaviour       `json:"behaviours"`
+	Careless   bool              `json:"careless,omitempty"` // does not stop work when its caller leaves
+}
+
+// TargetFaults are the switches of a target stand-in.
+type TargetFaults struct {
+	Factor float64       `json:"factor"` // multiplies the service time, 1 if 0
+	Fail   float64       `json:"fail"`   // share of calls answered with 500
+	Delay  time.Duration `json:"delay"`  // between the work and the answer
+}
+
+const coldFactor = 5
+
+// Run is what a target did for one root call on one path.
+type Run struct {
+	Root string        `json:"root"`
+	Path string        `json:"path"`
+	Runs int           `json:"runs"`
+	Work time.Duration `json:"work"`
+}
+
+type runKey struct{ root, path string }
+
+// Target is a target stand-in.
+type Target struct {
+	TargetConfig
+	paths   map[string]Behaviour
+	slots   chan struct{}
+	waiting atomic.Int64
+	started time.Time
+	client  *http.Client
+	faults  atomic.Pointer[TargetFaults]
+	serial  atomic.Uint64
+
+	mu   sync.Mutex
+	runs map[runKey]*Run
+	leak bool
+}
+
+// NewTarget returns a target stand-in that starts cold now.
+func NewTarget(c TargetConfig) *Target {
+	t := &Target{
+		TargetConfig: c, paths: map[string]Behaviour{}, started: time.Now(),
+		slots: make(chan struct{}, max(1, c.Slots)), runs: map[runKey]*Run{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+	}
+	for _, b := range c.Behaviours {
+		t.paths[b.Path] = b
+	}
+	t.faults.Store(&TargetFaults{})
+	return t
+}
+
+// ServeHTTP answers calls, and the stand-in's own paths.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/standin/faults":
+		var f TargetFaults
+		if decodeInto(w, r, &f) {
+			t.faults.Store(&f)
+		}
+	case "/standin/runs":
+		_ = json.NewEncoder(w).Encode(t.Runs())
+	case "/standin/leak":
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		_, _ = fmt.Fprintln(w, t.leak)
+	default:
+		t.serve(w, r)
+	}
+}
+
+// Runs returns what was done for each root call and path.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Run, 0, len(t.runs))
+	for _, r := range t.runs {
+		out = append(out, *r)
+	}
+	return out
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	t.inspect(r)
+	b, ok := t.paths[r.URL.Path]
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	if !t.enter(r.Context()) {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-t.slots }()
+	_, _ = io.Copy(io.Discard, r.Body)
+	status := t.work(r, b)
+	time.Sleep(t.faults.Load().Delay)
+	t.reply(w, r, b, status)
+}
+
+// inspect notes a key that should never have come this far.
+func (t *Target) inspect(r *http.Request) {
+	leak := r.Header.Get("Authorization") != "" || r.Header.Get("X-Api-Key") != "" || strings.Contains(r.URL.RawQuery, "key")
+	if leak {
+		t.mu.Lock()
+		t.leak = true
+		t.mu.Unlock()
+	}
+}
+
+// enter takes a slot, after a wait if the queue has room.
+func (t *Target) enter(ctx context.Context) bool {
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if t.waiting.Add(1) > int64(t.Queue) {
+		t.waiting.Add(-1)
+		return false
+	}
+	defer t.waiting.Add(-1)
+	if t.Careless {
+		ctx = context.WithoutCancel(ctx)
+	}
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// work does half of the service time, the child calls, and the other half.
+func (t *Target) work(r *http.Request, b Behaviour) int {
+	f := t.faults.Load()
+	d := b.Time.Duration
+	if f.Factor > 0 {
+		d = time.Duration(float64(d) * f.Factor)
+	}
+	if time.Since(t.started) < t.Cold.Duration {
+		d *= coldFactor
+	}
+	root := r.Header.Get(RootHeader)
+	run := t.begin(root, b.Path)
+	if !t.spend(r.Context(), run, d/2) {
+		return http.StatusServiceUnavailable
+	}
+	for _, c := range b.Children {
+		if !t.call(r, c, max(1, b.Tries)) {
+			return http.StatusBadGateway
+		}
+	}
+	if !t.spend(r.Context(), run, d-d/2) {
+		return http.StatusServiceUnavailable
+	}
+	if f.Fail > 0 && float64(t.serial.Add(1)%1000) < f.Fail*1000 {
+		return http.StatusInternalServerError
+	}
+	return http.StatusOK
+}
+
+func (t *Target) begin(root, path string) *Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := runKey{root, path}
+	run, ok := t.runs[key]
+	if !ok {
+		run = &Run{Root: root, Path: path}
+		t.runs[key] = run
+	}
+	run.Runs++
+	return run
+}
+
+// spend takes the time and reports whether the caller was still there.
+func (t *Target) spend(ctx context.Context, run *Run, d time.Duration) bool {
+	if t.Careless {
+		ctx = context.WithoutCancel(ctx)
+	}
+	start := time.Now()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	whole := true
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		whole = false
+	}
+	t.mu.Lock()
+	run.Work += min(d, time.Since(start))
+	t.mu.Unlock()
+	return whole
+}
+
+// call makes a child call through the node, with the context of the call served.
+func (t *Target) call(r *http.Request, c Child, tries int) bool {
+	for range tries {
+		req, err := http.NewRequestWithContext(r.Context(), c.Method, "http://"+t.Outgoing.String()+c.Path, nil)
+		if err != nil {
+			return false
+		}
+		for _, name := range []string{"Traceparent", RootHeader, "Celery-Timeout"} {
+			if v := r.Header.Get(name); v != "" {
+				req.Header.Set(name, v)
+			}
+		}
+		res, err := t.client.Do(req)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err == nil && res.StatusCode < http.StatusMultipleChoices {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) reply(w http.ResponseWriter, r *http.Request, b Behaviour, status int) {
+	w.Header().Set("X-Target", t.Name)
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "%s %s %s\n", t.Name, r.URL.Path, r.Header.Get(RootHeader))
+	if b.Size > 0 {
+		_, _ = w.Write(make([]byte, b.Size))
+	}
+}
--- /dev/null
+++ b/internal/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace sets up the export of spans.
+package trace
--- /dev/null
+++ b/io/etcd/client.go
@@ -0,0 +1,243 @@
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	callTimeout = 1 * time.Second
+	dialTimeout = 500 * time.Millisecond
+	// callRate and callBurst bound the calls that one node makes, in calls a
+	// second and calls, whatever happens.
+	callRate  = 20
+	callBurst = 40
+)
+
+// Config holds what a Client is made of.
+type Config struct {
+	Addresses []netip.AddrPort
+}
+
+// Client makes calls to the store. A call that fails moves on to the next address.
+type Client struct {
+	Config
+	http  *http.Client
+	limit *rate.Limiter
+	at    atomic.Uint32
+	calls atomic.Uint64
+}
+
+// NewClient returns a client.
+func NewClient(c Config) *Client {
+	return &Client{
+		Config: c,
+		limit:  rate.NewLimiter(callRate, callBurst),
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+// Calls returns the number of calls made so far.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Range returns the pairs whose key starts with the prefix and the revision they
+// were read at.
+func (c *Client) Range(ctx context.Context, prefix string) ([]Pair, int64, error) {
+	var out rangeResponse
+	err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}, &out)
+	return out.Pairs, out.Header.Revision, err
+}
+
+// Get returns the pair of a key, or nil if there is none.
+func (c *Client) Get(ctx context.Context, key string) (*Pair, error) {
+	var out rangeResponse
+	if err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
+		return nil, err
+	}
+	if len(out.Pairs) == 0 {
+		return nil, nil
+	}
+	return &out.Pairs[0], nil
+}
+
+// Revision returns the revision at which a key was last written, 0 if it is absent.
+func (c *Client) Revision(ctx context.Context, key string) (int64, error) {
+	var out rangeResponse
+	if err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(key), KeysOnly: true}, &out); err != nil {
+		return 0, err
+	}
+	if len(out.Pairs) == 0 {
+		return 0, nil
+	}
+	return out.Pairs[0].ModRevision, nil
+}
+
+// Put writes a value under a lease, 0 for none.
+func (c *Client) Put(ctx context.Context, key string, value []byte, lease int64) error {
+	return c.call(ctx, "kv/put", putRequest{Key: []byte(key), Value: value, Lease: lease}, nil)
+}
+
+// Swap writes a value if the key was last written at the given revision, 0 for a
+// key that is absent, and reports whether it did.
+func (c *Client) Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error) {
+	if revision == 0 {
+		return c.Create(ctx, key, nil, value, 0)
+	}
+	return c.txn(ctx, txnRequest{
+		Compare: []compare{{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: &revision}},
+		Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value}}},
+	})
+}
+
+// Create writes a value if neither its key nor any of the rival keys exists, and
+// reports whether it did.
+func (c *Client) Create(ctx context.Context, key string, rivals []string, value []byte, lease int64) (bool, error) {
+	var absent int64
+	req := txnRequest{Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value, Lease: lease}}}}
+	for _, k := range append([]string{key}, rivals...) {
+		req.Compare = append(req.Compare, compare{
+			Key: []byte(k), Target: targetCreate, Result: resultEqual, CreateRevision: &absent,
+		})
+	}
+	return c.txn(ctx, req)
+}
+
+// DeleteValue deletes a key that holds exactly the given value.
+func (c *Client) DeleteValue(ctx context.Context, key string, value []byte) (bool, error) {
+	return c.txn(ctx, txnRequest{
+		Compare: []compare{{Key: []byte(key), Target: targetValue, Result: resultEqual, Value: value}},
+		Success: []operation{{Delete: &deleteRequest{Key: []byte(key)}}},
+	})
+}
+
+func (c *Client) txn(ctx context.Context, req txnRequest) (bool, error) {
+	var out txnResponse
+	err := c.call(ctx, "kv/txn", req, &out)
+	return out.Succeeded, err
+}
+
+// Grant creates a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	var out leaseResponse
+	err := c.call(ctx, "lease/grant", leaseRequest{TTL: int64(ttl / time.Second)}, &out)
+	return out.ID, err
+}
+
+// KeepAlive renews a lease and returns its time to live, 0 if it has run out.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	var out keepAliveResponse
+	err := c.call(ctx, "lease/keepalive", leaseRequest{ID: lease}, &out)
+	return time.Duration(out.Result.TTL) * time.Second, err
+}
+
+// Revoke ends a lease and deletes the keys under it.
+func (c *Client) Revoke(ctx context.Context, lease int64) error {
+	return c.call(ctx, "lease/revoke", leaseRequest{ID: lease}, nil)
+}
+
+// Change is one write or deletion that a watch reports.
+type Change struct {
+	Key     string
+	Value   []byte // nil if the key was deleted
+	Deleted bool
+}
+
+// Watch reports the changes under a prefix from a revision on, until the context
+// ends or the stream breaks. The ready function is called once the watch stands.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, ready func(), report func(Change, int64)) error {
+	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}}
+	res, err := c.post(ctx, "watch", req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	ready()
+	dec := json.NewDecoder(res.Body)
+	for {
+		var out watchResponse
+		if err := dec.Decode(&out); err != nil {
+			return fmt.Errorf("read watch: %w", err)
+		}
+		if out.Result.Canceled {
+			return errors.New("watch canceled by the store")
+		}
+		for _, e := range out.Result.Events {
+			report(Change{Key: string(e.Pair.Key), Value: e.Pair.Value, Deleted: e.Type == eventDelete}, out.Result.Header.Revision)
+		}
+	}
+}
+
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := c.post(ctx, path, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("decode %s: %w", path, err)
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("call %s: %w", path, err)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", path, err)
+	}
+	address := c.Addresses[int(c.at.Load())%len(c.Addresses)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v3/"+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build %s: %w", path, err)
+	}
+	c.calls.Add(1)
+	res, err := c.http.Do(req)
+	if err != nil {
+		c.at.Add(1)
+		return nil, fmt.Errorf("call %s: %w", path, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		c.at.Add(1)
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("call %s: store answered %s", path, res.Status)
+	}
+	return res, nil
+}
+
+// prefixEnd returns the first key after all those that start with the prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/io/etcd/layout.go
@@ -0,0 +1,108 @@
+package etcd
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"celeryshelf/core"
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/member"
+	"celeryshelf/core/quota"
+)
+
+// Layout names the keys under one prefix.
+type Layout struct {
+	Prefix string
+}
+
+// Manifest returns the key of the manifest.
+func (l Layout) Manifest() string { return l.Prefix + "manifest" }
+
+func (l Layout) member(name string) string { return l.Prefix + "member/" + name }
+
+func (l Layout) shard(s quota.Shard) string {
+	return fmt.Sprintf("%squota/%d.%d/%s", l.Prefix, s.Count, s.Index, s.Workspace)
+}
+
+// claim is the value of a shard's key.
+type claim struct {
+	Owner string `json:"owner"`
+	ID    string `json:"id"`
+}
+
+// event turns a change into what the reducer takes in, or nil for keys that are
+// not the system's.
+func (l Layout) event(c Change) (core.Event, error) {
+	name, ok := strings.CutPrefix(c.Key, l.Prefix)
+	if !ok {
+		return nil, nil
+	}
+	kind, rest, _ := strings.Cut(name, "/")
+	switch kind {
+	case "manifest":
+		return manifestEvent(c)
+	case "member":
+		return memberEvent(rest, c)
+	case "quota":
+		return shardEvent(rest, c)
+	default:
+		return nil, nil
+	}
+}
+
+func manifestEvent(c Change) (core.Event, error) {
+	if c.Deleted {
+		return nil, nil
+	}
+	var m manifest.Versioned
+	if err := json.Unmarshal(c.Value, &m); err != nil {
+		return nil, fmt.Errorf("decode manifest: %w", err)
+	}
+	return &core.ManifestSeen{Manifest: m}, nil
+}
+
+func memberEvent(name string, c Change) (core.Event, error) {
+	if c.Deleted {
+		return &core.MemberGone{Name: name}, nil
+	}
+	var m member.Member
+	if err := json.Unmarshal(c.Value, &m); err != nil {
+		return nil, fmt.Errorf("decode member %s: %w", name, err)
+	}
+	return &core.MemberSeen{Member: m}, nil
+}
+
+func shardEvent(rest string, c Change) (core.Event, error) {
+	s, err := parseShard(rest)
+	if err != nil {
+		return nil, err
+	}
+	if c.Deleted {
+		return &core.ShardGone{Shard: s}, nil
+	}
+	var v claim
+	if err := json.Unmarshal(c.Value, &v); err != nil {
+		return nil, fmt.Errorf("decode shard %s: %w", rest, err)
+	}
+	return &core.ShardSeen{ShardRecord: core.ShardRecord{Shard: s, Owner: v.Owner}}, nil
+}
+
+// parseShard reads "count.index/workspace".
+func parseShard(text string) (quota.Shard, error) {
+	split, workspace, ok := strings.Cut(text, "/")
+	count, index, dotted := strings.Cut(split, ".")
+	if !ok || !dotted {
+		return quota.Shard{}, fmt.Errorf("shard key %q is malformed", text)
+	}
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		return quota.Shard{}, fmt.Errorf("shard key %q: %w", text, err)
+	}
+	i, err := strconv.Atoi(index)
+	if err != nil {
+		return quota.Shard{}, fmt.Errorf("shard key %q: %w", text, err)
+	}
+	return quota.Shard{Workspace: workspace, Index: i, Count: n}, nil
+}
--- /dev/null
+++ b/io/etcd/wire.go
@@ -0,0 +1,109 @@
+package etcd
+
+// header comes with every answer.
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// Pair is one key with its value and revisions.
+type Pair struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value"`
+	CreateRevision int64  `json:"create_revision,string"`
+	ModRevision    int64  `json:"mod_revision,string"`
+	Lease          int64  `json:"lease,string"`
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
+}
+
+type rangeResponse struct {
+	Header header `json:"header"`
+	Pairs  []Pair `json:"kvs"`
+}
+
+// Targets and results of a comparison.
+const (
+	targetCreate = "CREATE"
+	targetMod    = "MOD"
+	targetValue  = "VALUE"
+	resultEqual  = "EQUAL"
+)
+
+type compare struct {
+	Key            []byte `json:"key"`
+	Target         string `json:"target"`
+	Result         string `json:"result"`
+	CreateRevision *int64 `json:"create_revision,string,omitempty"`
+	ModRevision    *int64 `json:"mod_revision,string,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type operation struct {
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []operation `json:"success"`
+}
+
+type txnResponse struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+type leaseRequest struct {
+	TTL int64 `json:"TTL,string,omitempty"` // seconds
+	ID  int64 `json:"ID,string,omitempty"`
+}
+
+type leaseResponse struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"` // seconds
+}
+
+type keepAliveResponse struct {
+	Result leaseResponse `json:"result"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end"`
+	StartRevision int64  `json:"start_revision,string"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+const eventDelete = "DELETE"
+
+type watchEvent struct {
+	Type string `json:"type"`
+	Pair Pair   `json:"kv"`
+}
+
+type watchResult struct {
+	Header   header       `json:"header"`
+	Events   []watchEvent `json:"events"`
+	Canceled bool         `json:"canceled"`
+}
+
+type watchResponse struct {
+	Result watchResult `json:"result"`
+}
--- /dev/null
+++ b/io/node/header_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celeryshelf/core"
+	"celeryshelf/core/admit"
+)
+
+func TestPassSurvivesTheHeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := core.Pass{
+			Target:    rapid.StringMatching(`[a-z0-9-]{1,20}`).Draw(t, "target"),
+			Workspace: rapid.StringMatching(`[a-z0-9-]{0,20}`).Draw(t, "workspace"),
+			Route:     rapid.StringMatching(`[a-z0-9-]{1,20}`).Draw(t, "route"),
+			Rank: admit.Rank{
+				Important: rapid.Bool().Draw(t, "important"),
+				Depth:     rapid.Uint8().Draw(t, "depth"),
+				Hash:      rapid.Uint16Range(0, admit.HashBuckets-1).Draw(t, "hash"),
+			},
+			Budget:  rapid.IntRange(0, 8).Draw(t, "budget"),
+			Timeout: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "timeout")),
+			Once:    rapid.Bool().Draw(t, "once"),
+			Repeat:  rapid.Uint64().Draw(t, "repeat"),
+		}
+		h := http.Header{}
+		SetPass(h, want)
+		got, err := GetPass(h)
+		if err != nil || got != want {
+			t.Fatalf("got %+v, %v; want %+v", got, err, want)
+		}
+	})
+}
+
+func FuzzPass(f *testing.F) {
+	f.Add("maps-1", "1.2.3", "2", "1.5s", "ff")
+	f.Add("", "1.300.3", "-1", "", "zz")
+	f.Fuzz(func(t *testing.T, target, rank, budget, timeout, repeat string) {
+		h := http.Header{
+			headerTarget: {target}, headerRank: {rank}, headerBudget: {budget},
+			headerTimeout: {timeout}, headerRepeat: {repeat},
+		}
+		p, err := GetPass(h)
+		if err != nil {
+			return
+		}
+		again := http.Header{}
+		SetPass(again, p)
+		if q, err := GetPass(again); err != nil || q != p {
+			t.Fatalf("%+v came back as %+v, %v", p, q, err)
+		}
+	})
+}
+
+func TestOutcomeIgnoresNonsense(t *testing.T) {
+	for _, tt := range []struct {
+		level, unspent string
+		want           Outcome
+	}{
+		{"12", "3", Outcome{Level: 12, Unspent: 3}},
+		{"65535", "1", Outcome{Level: admit.MaxLevel, Unspent: 1}},
+		{"-1", "x", Outcome{}},
+		{"", "", Outcome{}},
+	} {
+		h := http.Header{headerLevel: {tt.level}, headerUnspent: {tt.unspent}}
+		if got := TakeOutcome(h); got != tt.want {
+			t.Errorf("level %q, unspent %q: got %+v, want %+v", tt.level, tt.unspent, got, tt.want)
+		}
+		if len(h) != 0 {
+			t.Errorf("headers left behind: %v", h)
+		}
+	}
+}
--- /dev/null
+++ b/io/node/refusal.go
@@ -0,0 +1,19 @@
+package node
+
+import (
+	"net/http"
+
+	"celeryshelf/core"
+)
+
+// Refuser writes refusals to other nodes.
+type Refuser struct{}
+
+// Refuse writes the reason, whether the call may have run, and its outcome.
+func (Refuser) Refuse(w http.ResponseWriter, v core.Verdict) {
+	h := w.Header()
+	h.Set(HeaderReason, v.Reason.String())
+	h.Set(HeaderRan, v.Ran.String())
+	SetOutcome(h, "", Outcome{Level: v.Level, Unspent: v.Unspent})
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/io/node/wire.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"celeryshelf/core"
+)
+
+// Methods of the control protocol, one for each message.
+const (
+	methodSync     = "sync"
+	methodFetch    = "fetch"
+	methodConfig   = "config"
+	methodAsk      = "ask"
+	methodGrant    = "grant"
+	methodRecord   = "record"
+	methodRecorded = "recorded"
+	methodHandover = "handover"
+)
+
+// frame carries a message with the name of its sender.
+type frame struct {
+	From string          `json:"from"`
+	Body json.RawMessage `json:"body"`
+}
+
+func methodOf(m core.Message) string {
+	switch m.(type) {
+	case *core.Sync:
+		return methodSync
+	case *core.Fetch:
+		return methodFetch
+	case *core.Config:
+		return methodConfig
+	case *core.TokenAsk:
+		return methodAsk
+	case *core.TokenGrant:
+		return methodGrant
+	case *core.Record:
+		return methodRecord
+	case *core.Recorded:
+		return methodRecorded
+	case *core.Handover:
+		return methodHandover
+	default:
+		return ""
+	}
+}
+
+func messageOf(method string) core.Message {
+	switch method {
+	case methodSync:
+		return &core.Sync{}
+	case methodFetch:
+		return &core.Fetch{}
+	case methodConfig:
+		return &core.Config{}
+	case methodAsk:
+		return &core.TokenAsk{}
+	case methodGrant:
+		return &core.TokenGrant{}
+	case methodRecord:
+		return &core.Record{}
+	case methodRecorded:
+		return &core.Recorded{}
+	case methodHandover:
+		return &core.Handover{}
+	default:
+		return nil
+	}
+}
+
+func encode(from string, m core.Message) (frame, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return frame{}, fmt.Errorf("encode %s: %w", methodOf(m), err)
+	}
+	return frame{From: from, Body: body}, nil
+}
+
+func decode(method string, params *json.RawMessage) (core.Received, error) {
+	m := messageOf(method)
+	if m == nil || params == nil {
+		return core.Received{}, fmt.Errorf("unknown method %q", method)
+	}
+	var f frame
+	if err := json.Unmarshal(*params, &f); err != nil {
+		return core.Received{}, fmt.Errorf("decode frame of %s: %w", method, err)
+	}
+	if err := json.Unmarshal(f.Body, m); err != nil {
+		return core.Received{}, fmt.Errorf("decode %s: %w", method, err)
+	}
+	return core.Received{From: f.From, Body: m}, nil
+}
--- /dev/null
+++ b/io/target/doc.go
@@ -0,0 +1,2 @@
+// Package target speaks to the one local target over HTTP.
+package target
