--- /dev/null
+++ b/cmd/celeryshelf/main.go
@@ -0,0 +1,18 @@
+// Command celeryshelf runs a node and drives the fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"celeryshelf/internal/command"
+)
+
+func main() {
+	err := command.New(os.Stdout).Run(context.Background(), os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(command.Code(err))
+}
--- /dev/null
+++ b/cmd/celeryshelf/script_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	untilLimit = 20 * time.Second
+	untilPause = 50 * time.Millisecond
+)
+
+// until runs a command again and again until its output contains its first argument.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: until TEXT COMMAND [ARG...]")
+	}
+	deadline := time.Now().Add(untilLimit)
+	for {
+		err := ts.Exec(args[1], args[2:]...)
+		out := ts.ReadFile("stdout") + ts.ReadFile("stderr")
+		if err == nil && strings.Contains(out, args[0]) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("no %q from %v in %s; last output:\n%s", args[0], args[1:], untilLimit, out)
+		}
+		time.Sleep(untilPause)
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,119 @@
+// Command standin runs a stand-in for a part around the system, for tests and the
+// bench: the platform's store, a target, or callers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"celeryshelf/internal/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cli.Command{
+		Name:  "standin",
+		Usage: "play the store, a target, or callers on loopback",
+		Commands: []*cli.Command{
+			{
+				Name: "store", Usage: "serve an etcd v3 JSON gateway from memory",
+				Flags:  []cli.Flag{listenFlag()},
+				Action: store,
+			},
+			{
+				Name: "target", Usage: "serve a target described by a JSON file",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
+				Action: target,
+			},
+			{
+				Name: "caller", Usage: "make one call and print its status, headers and body",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "to", Usage: "`IP:PORT` of a node's callers' side", Required: true},
+					&cli.StringFlag{Name: "key", Usage: "`KEY` to present"},
+					&cli.StringFlag{Name: "method", Value: http.MethodGet},
+					&cli.StringFlag{Name: "path", Required: true},
+					&cli.StringFlag{Name: "root", Usage: "name of the root call", Value: "r1"},
+					&cli.StringFlag{Name: "idempotency", Usage: "Idempotency-Key"},
+				},
+				Action: call,
+			},
+		},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "`IP:PORT`", Required: true}
+}
+
+func serve(ctx context.Context, at netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); ctx.Err() == nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func store(ctx context.Context, c *cli.Command) error {
+	at, err := netip.ParseAddrPort(c.String("listen"))
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	s := standin.NewStore()
+	go s.Expire(ctx.Done())
+	return serve(ctx, at, s)
+}
+
+func target(ctx context.Context, c *cli.Command) error {
+	text, err := os.ReadFile(c.String("config"))
+	if err != nil {
+		return fmt.Errorf("read config: %w", err)
+	}
+	var config standin.TargetConfig
+	if err := json.Unmarshal(text, &config); err != nil {
+		return fmt.Errorf("decode %s: %w", c.String("config"), err)
+	}
+	return serve(ctx, config.Listen, standin.NewTarget(config))
+}
+
+func call(ctx context.Context, c *cli.Command) error {
+	req, err := http.NewRequestWithContext(ctx, c.String("method"), "http://"+c.String("to")+c.String("path"), nil)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set(standin.RootHeader, c.String("root"))
+	if c.String("key") != "" {
+		req.Header.Set("Authorization", "Bearer "+c.String("key"))
+	}
+	if c.String("idempotency") != "" {
+		req.Header.Set("Idempotency-Key", c.String("idempotency"))
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	fmt.Println(res.StatusCode, res.Header.Get("Celery-Reason"), res.Header.Get("Celery-Ran"))
+	_, err = os.Stdout.ReadFrom(res.Body)
+	return err
+}
