core: golden sessions and oracles; owners cannot grant on a clock that stood still

Cause: the promises on rates, retries and single runs had no proof. Ruled out: the asker's validity (counted from its own request) does not help against asks made after the owner's lease ran out. Change: peers compare each other's clocks with every message; an asker drops grants of an owner whose clock lost time, and an owner reads a peer's clock before it grants to its own node. A taken-over bucket starts empty but needs no wait, as the bucket's size already allows for grants in flight. What remains: tokens already in a holder's hand survive a stop of its clock; they are at most one batch.

--- /dev/null
+++ b/core/call_test.go
@@ -0,0 +1,204 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// oracleCall is what the oracle knows of a call at the node under test.
+type oracleCall struct {
+	once      bool
+	keyed     bool // has a workspace
+	out       bool // an attempt is under way
+	local     bool // it is at the local target
+	attempts  int
+	ran       Ran
+	redirects int
+	last      Reason
+	parent    CallID
+	root      CallID
+}
+
+// oracle checks every verdict on calls against the promises of the brief.
+type oracle struct {
+	t       *rapid.T
+	s       *State
+	now     time.Time
+	calls   map[CallID]*oracleCall
+	extra   map[CallID]int // extra attempts of a root's tree at this node
+	nextID  CallID
+	retries int
+}
+
+func (o *oracle) step(e Event) {
+	for _, v := range o.s.Step(o.now, e).Verdicts {
+		o.verdict(v)
+	}
+	running := 0
+	for _, c := range o.calls {
+		if c.out && c.local {
+			running++
+		}
+	}
+	if got := o.s.View().Gate.Running; got != running {
+		o.t.Fatalf("gate counts %d running calls, there are %d", got, running)
+	}
+}
+
+func (o *oracle) verdict(v Verdict) {
+	c, ok := o.calls[v.Call]
+	if !ok {
+		if v.Action != Settle {
+			o.t.Fatalf("verdict %s on call %d, which is not open", v.Action, v.Call)
+		}
+		return
+	}
+	switch v.Action {
+	case Run, Forward:
+		o.attempt(c, v)
+	case Refuse:
+		if v.Ran < c.ran {
+			o.t.Fatalf("call %d refused as ran=%s, but %s was reported", v.Call, v.Ran, c.ran)
+		}
+		if c.out {
+			o.t.Fatalf("call %d refused while an attempt is under way", v.Call)
+		}
+		delete(o.calls, v.Call)
+	case Deliver, Replay, Settle:
+	}
+}
+
+func (o *oracle) attempt(c *oracleCall, v Verdict) {
+	if c.out {
+		o.t.Fatalf("call %d is sent on while an attempt is under way", v.Call)
+	}
+	if c.once && c.ran != RanNo {
+		o.t.Fatalf("once call %d is sent on after ran=%s", v.Call, c.ran)
+	}
+	if c.keyed != (v.Pass.Workspace == "bo-lieu") {
+		o.t.Fatalf("call %d runs for workspace %q", v.Call, v.Pass.Workspace)
+	}
+	if c.attempts > 0 && !redirects(c.last) {
+		o.extra[c.root]++
+	}
+	if o.extra[c.root] > o.retries {
+		o.t.Fatalf("the tree of call %d has made %d extra attempts", c.root, o.extra[c.root])
+	}
+	c.attempts++
+	if c.attempts > maxAttempts {
+		o.t.Fatalf("call %d is on attempt %d", v.Call, c.attempts)
+	}
+	c.out, c.local = true, v.Action == Run
+}
+
+// pick draws one of the open calls for which the predicate holds.
+func (o *oracle) pick(want func(c *oracleCall) bool) (CallID, *oracleCall) {
+	var ids []CallID
+	for id := CallID(1); id <= o.nextID; id++ {
+		if c, ok := o.calls[id]; ok && want(c) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		o.t.Skip("no such call")
+	}
+	id := rapid.SampledFrom(ids).Draw(o.t, "call")
+	return id, o.calls[id]
+}
+
+func (o *oracle) arrive(a Arrive, c oracleCall) {
+	o.nextID++
+	a.Call = o.nextID
+	if c.root == 0 {
+		c.root = a.Call
+	}
+	a.Replayable = rapid.Bool().Draw(o.t, "replayable")
+	o.calls[a.Call] = &c
+	o.step(&a)
+}
+
+// TestCallsKeepThePromises drives one node's reducer with calls from all sides,
+// failures of every kind, and time, and checks each verdict.
+func TestCallsKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := testManifest(500, 500)
+		for i := range m.Manifest.Routes {
+			m.Manifest.Routes[i].Open = true // no token is needed without a key
+		}
+		o := &oracle{
+			t: t, s: New(Settings{Self: testMember(0)}), now: time.Unix(1000, 0),
+			calls: map[CallID]*oracleCall{}, extra: map[CallID]int{}, retries: m.Manifest.Retries,
+		}
+		for i := range rapid.IntRange(0, 3).Draw(t, "peers") {
+			o.step(&MemberSeen{Member: testMember(i + 1)})
+		}
+		o.step(&ManifestSeen{Manifest: m})
+		t.Repeat(map[string]func(*rapid.T){
+			"caller": func(t *rapid.T) { o.t = t; o.fromCaller() },
+			"node":   func(t *rapid.T) { o.t = t; o.fromNode() },
+			"target": func(t *rapid.T) { o.t = t; o.fromTarget() },
+			"fail":   func(t *rapid.T) { o.t = t; o.fail() },
+			"finish": func(t *rapid.T) { o.t = t; o.finish() },
+			"cancel": func(t *rapid.T) { o.t = t; o.cancel() },
+			"time": func(t *rapid.T) {
+				o.t = t
+				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+				o.step(&Tick{})
+			},
+		})
+	})
+}
+
+func (o *oracle) fromCaller() {
+	route := rapid.SampledFrom([]string{"map", "order"}).Draw(o.t, "route")
+	o.arrive(Arrive{Route: route, Seed: uint64(o.nextID)}, oracleCall{once: route == "order"})
+}
+
+func (o *oracle) fromNode() {
+	once := rapid.Bool().Draw(o.t, "once")
+	o.arrive(Arrive{Origin: FromNode, Pass: Pass{
+		Target: "n0", Workspace: "bo-lieu", Route: "map", Once: once,
+		Budget: o.retries, Timeout: 2 * time.Second,
+	}}, oracleCall{once: once, keyed: true})
+}
+
+func (o *oracle) fromTarget() {
+	id, p := o.pick(func(c *oracleCall) bool { return c.out && c.local })
+	route := rapid.SampledFrom([]string{"map", "order"}).Draw(o.t, "route")
+	o.arrive(Arrive{
+		Origin: FromTarget, Parent: id, Route: route,
+		Request: rapid.Uint64Range(1, 3).Draw(o.t, "request"),
+	}, oracleCall{once: route == "order", keyed: p.keyed, parent: id, root: p.root})
+}
+
+func (o *oracle) fail() {
+	id, c := o.pick(func(c *oracleCall) bool { return c.out })
+	f := &Fail{Call: id, Cause: Cause(rapid.IntRange(0, int(TimedOut)).Draw(o.t, "cause"))}
+	if f.Cause == Unreachable || f.Cause == Rejected && rapid.Bool().Draw(o.t, "not run") {
+		f.Ran = RanNo
+	} else {
+		f.Ran = RanUnknown
+	}
+	if f.Cause == Rejected {
+		f.Reason = rapid.SampledFrom([]Reason{Overloaded, Draining, AttemptFailed}).Draw(o.t, "reason")
+	}
+	f.Unspent = rapid.IntRange(0, 5).Draw(o.t, "unspent")
+	c.out, c.ran, c.last = false, max(c.ran, f.Ran), failReason(f)
+	o.step(f)
+}
+
+func (o *oracle) finish() {
+	id, c := o.pick(func(c *oracleCall) bool { return c.out })
+	c.out = false
+	delete(o.calls, id)
+	o.step(&Finish{Call: id, Whole: rapid.Bool().Draw(o.t, "whole"), Unspent: rapid.IntRange(0, 5).Draw(o.t, "unspent")})
+}
+
+func (o *oracle) cancel() {
+	id, c := o.pick(func(*oracleCall) bool { return true })
+	c.out = false
+	delete(o.calls, id)
+	o.step(&Cancel{Call: id})
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -134,6 +134,7 @@
 	StoreBack
 	DrainStarted
 	OwnerClockBehind
+	OwnClockBehind
 	ManifestRefused
 )
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -24,37 +24,6 @@
 	sweepEvery    = 1 * time.Second
 )
 
-// clock is the largest reading of a peer's clock against this node's.
-type clock struct {
-	incarnation uint64
-	offset      time.Duration
-	at          time.Time
-}
-
-const (
-	// clockDrift is the rate by which two sound clocks may part, a part in so many.
-	clockDrift = 2000
-	// clockSlack is the delay of a message that does not make its clock suspect.
-	clockSlack = 250 * time.Millisecond
-)
-
-// observe compares a peer's clock with this node's and reports whether it has
-// kept pace since it was first read. A peer that was stopped together with its
-// clock has not, and believes in leases that have run out.
-func (s *State) observe(now time.Time, name string, incarnation uint64, reading time.Duration) bool {
-	offset := reading - now.Sub(s.started)
-	c, ok := s.clocks[name]
-	if !ok || incarnation > c.incarnation {
-		s.clocks[name] = clock{incarnation: incarnation, offset: offset, at: now}
-		return true
-	}
-	expected := c.offset - now.Sub(c.at)/clockDrift
-	if offset > expected {
-		s.clocks[name] = clock{incarnation: c.incarnation, offset: offset, at: now}
-	}
-	return offset >= expected-clockSlack
-}
-
 func (s *State) tick(now time.Time) {
 	s.gate.Turn(now)
 	for {
@@ -185,6 +154,10 @@
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
 	case *TokenGrant:
 		s.tokenGrant(now, e.From, m)
+	case *Echo:
+		s.send(e.From, &Echoed{Ask: m.Ask, Clock: now.Sub(s.started)})
+	case *Echoed:
+		s.echoed(now, e.From, m)
 	case *Record:
 		s.record(now, e.From, m)
 	case *Recorded:
@@ -199,7 +172,7 @@
 func (s *State) synced(now time.Time, m *Sync) {
 	joined := s.hear(now, m.Self)
 	s.reachable(now, m.Self.Name, true)
-	s.observe(now, m.Self.Name, m.Self.Incarnation, m.Clock)
+	s.compare(now, m.Self.Name, m.Clock)
 	for _, o := range m.Members {
 		s.hear(now, o)
 	}
--- a/core/message.go
+++ b/core/message.go
@@ -40,6 +40,18 @@
 	Clock time.Duration `json:"clock"` // owner's time since its start
 }
 
+// Echo asks a peer for its clock, so that the owner of a shard can grant tokens to
+// its own node in the knowledge that its own clock has not stood still.
+type Echo struct {
+	Ask quota.Ask `json:"ask"`
+}
+
+// Echoed answers an Echo.
+type Echoed struct {
+	Ask   quota.Ask     `json:"ask"`
+	Clock time.Duration `json:"clock"` // sender's time since its start
+}
+
 // Record asks a peer to keep a copy of the fact that a call may run.
 type Record struct {
 	Call        CallID         `json:"call"`
@@ -63,6 +75,8 @@
 func (*Config) message()     {}
 func (*TokenAsk) message()   {}
 func (*TokenGrant) message() {}
+func (*Echo) message()       {}
+func (*Echoed) message()     {}
 func (*Record) message()     {}
 func (*Recorded) message()   {}
 func (*Handover) message()   {}
--- a/core/platform.go
+++ b/core/platform.go
@@ -229,7 +229,7 @@
 		owner, known := s.shards[a.Shard]
 		switch {
 		case known && owner == s.self.Name:
-			s.granted(now, a, s.owner.Grant(now, a.Shard, a.Tokens))
+			s.askSelf(now, a)
 		case known && s.knows(owner):
 			s.send(owner, &TokenAsk{Ask: a})
 		default:
@@ -243,13 +243,41 @@
 	return ok && !p.Silent
 }
 
-func (s *State) tokenGrant(now time.Time, from string, m *TokenGrant) {
-	p, ok := s.peers.Get(from)
-	if !ok {
+// askSelf asks a peer for its clock before the node grants tokens to itself. An
+// ask to another owner needs no such detour, as the asker reads the owner's clock.
+func (s *State) askSelf(now time.Time, a quota.Ask) {
+	witness := s.witness()
+	if witness == "" {
+		s.granted(now, a, s.owner.Grant(now, a.Shard, a.Tokens))
 		return
 	}
+	s.send(witness, &Echo{Ask: a})
+}
+
+// witness returns a peer that can be reached, or nothing if there is none.
+func (s *State) witness() string {
+	peers := s.peers.All()
+	if len(peers) == 0 {
+		return ""
+	}
+	start := int(s.next() % uint64(len(peers)))
+	for i := range peers {
+		if p := &peers[(start+i)%len(peers)]; !p.Silent {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+func (s *State) echoed(now time.Time, from string, m *Echoed) {
+	s.compare(now, from, m.Clock)
+	s.granted(now, m.Ask, s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens))
+	s.ask(now)
+}
+
+func (s *State) tokenGrant(now time.Time, from string, m *TokenGrant) {
 	grant := m.Grant
-	if !s.observe(now, from, p.Incarnation, m.Clock) {
+	if s.compare(now, from, m.Clock) == paceBehind {
 		s.notice(Notice{Kind: OwnerClockBehind, Peer: from, Shard: m.Ask.Shard})
 		grant = quota.Unowned()
 	}
--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -13,8 +13,8 @@
 	minSplitBurst = 60
 	// validityShare of the time in which the rate fills the burst is how long a
 	// batch stays valid.
-	validityShare = 0.05
-	minValidity   = 5 * time.Millisecond
+	validityShare = 0.1
+	minValidity   = 20 * time.Millisecond
 	maxValidity   = 500 * time.Millisecond
 )
 
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -37,11 +37,11 @@
 // NewOwner returns an owner of nothing.
 func NewOwner() *Owner { return &Owner{buckets: map[Shard]*bucket{}} }
 
-// Acquire starts an empty bucket for a shard. It fills from the moment when
-// every batch of the previous owner is dead.
+// Acquire starts an empty bucket for a shard. Together with what the previous
+// owner granted, which the bucket's size allows for, it stays within the burst.
 func (o *Owner) Acquire(now time.Time, s Shard, a Allowance) {
 	rate, size := a.part()
-	o.buckets[s] = &bucket{rate: rate, size: size, last: now.Add(a.Validity())}
+	o.buckets[s] = &bucket{rate: rate, size: size, last: now}
 }
 
 // Adjust follows a changed allowance.
@@ -96,7 +96,6 @@
 	if got == 0 {
 		need := 1 - b.tokens
 		g.Retry = time.Duration(math.Ceil(need / b.rate * float64(time.Second)))
-		g.Retry += max(0, b.last.Sub(now))
 	}
 	return g
 }
--- /dev/null
+++ b/core/session_test.go
@@ -0,0 +1,163 @@
+package core
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"celeryshelf/core/manifest"
+)
+
+// A session file holds events, one JSON object a line, and the effects that the
+// reducer returned for them. UPDATE=1 rewrites the effects.
+type sessionLine struct {
+	At    string          `json:"at"` // since the start
+	Event string          `json:"event"`
+	With  json.RawMessage `json:"with"`
+	Key   string          `json:"key"` // secret, for Arrive
+}
+
+func newEvent(name string) Event {
+	switch name {
+	case "Arrive":
+		return &Arrive{}
+	case "Fail":
+		return &Fail{}
+	case "Finish":
+		return &Finish{}
+	case "Cancel":
+		return &Cancel{}
+	case "Tick":
+		return &Tick{}
+	case "Drain":
+		return &Drain{}
+	case "StoreUp":
+		return &StoreUp{}
+	case "LeaseHeld":
+		return &LeaseHeld{}
+	case "LeaseLost":
+		return &LeaseLost{}
+	case "ManifestSeen":
+		return &ManifestSeen{}
+	case "MemberSeen":
+		return &MemberSeen{}
+	case "ClaimDone":
+		return &ClaimDone{}
+	case "Recorded":
+		return &Received{Body: &Recorded{}}
+	default:
+		return nil
+	}
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) { replay(t, file) })
+	}
+}
+
+func replay(t *testing.T, file string) {
+	archive, err := txtar.ParseFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bytes.Buffer
+	for i := range archive.Files {
+		f := &archive.Files[i]
+		switch f.Name {
+		case "events":
+			run(t, f.Data, &got)
+		case "effects":
+			if os.Getenv("UPDATE") != "" {
+				f.Data = got.Bytes()
+				if err := os.WriteFile(file, txtar.Format(archive), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !bytes.Equal(f.Data, got.Bytes()) {
+				t.Errorf("effects differ; want\n%s\ngot\n%s", f.Data, got.Bytes())
+			}
+		}
+	}
+}
+
+func run(t *testing.T, events []byte, out *bytes.Buffer) {
+	start := time.Unix(1000, 0).UTC()
+	s := New(Settings{Self: testMember(0), Seed: 1})
+	for line := range strings.Lines(string(events)) {
+		var l sessionLine
+		if err := json.Unmarshal([]byte(line), &l); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		at, err := time.ParseDuration(l.At)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := newEvent(l.Event)
+		if e == nil {
+			t.Fatalf("no event %q", l.Event)
+		}
+		fill(t, l, e)
+		show(out, l, s.Step(start.Add(at), e), start)
+	}
+}
+
+func fill(t *testing.T, l sessionLine, e Event) {
+	var into any = e
+	if r, ok := e.(*Received); ok {
+		r.From, into = "n1", r.Body
+	}
+	if l.With != nil {
+		if err := json.Unmarshal(l.With, into); err != nil {
+			t.Fatalf("%s: %v", l.With, err)
+		}
+	}
+	if a, ok := e.(*Arrive); ok && l.Key != "" {
+		a.Key, a.Keyed = manifest.DigestOf(l.Key), true
+	}
+	if h, ok := e.(*LeaseHeld); ok {
+		h.Until = time.Unix(1000, 0).UTC().Add(time.Minute)
+	}
+}
+
+func show(out *bytes.Buffer, l sessionLine, e *Effects, start time.Time) {
+	fmt.Fprintf(out, "%s %s\n", l.At, l.Event)
+	for _, v := range e.Verdicts {
+		fmt.Fprintf(out, "\tverdict call=%d %s", v.Call, v.Action)
+		switch v.Action {
+		case Refuse:
+			fmt.Fprintf(out, " reason=%s ran=%s retry=%s", v.Reason, v.Ran, v.Retry)
+		case Run, Forward:
+			fmt.Fprintf(out, " endpoint=%s workspace=%q deadline=%s budget=%d once=%t depth=%d", v.Endpoint,
+				v.Pass.Workspace, v.Deadline.Sub(start), v.Pass.Budget, v.Pass.Once, v.Pass.Rank.Depth)
+		case Settle:
+			fmt.Fprintf(out, " level=%d unspent=%d", v.Level, v.Unspent)
+		case Replay:
+			fmt.Fprintf(out, " of=%d", v.Of)
+		case Deliver:
+		}
+		fmt.Fprintln(out)
+	}
+	for _, m := range e.Envelopes {
+		body, _ := json.Marshal(m.Body)
+		fmt.Fprintf(out, "\tsend to=%s %s %s\n", m.To, strings.TrimPrefix(fmt.Sprintf("%T", m.Body), "*core."), body)
+	}
+	for _, r := range e.Requests {
+		body, _ := json.Marshal(r)
+		fmt.Fprintf(out, "\trequest %s %s\n", strings.TrimPrefix(fmt.Sprintf("%T", r), "*core."), body)
+	}
+	for _, n := range e.Notices {
+		fmt.Fprintf(out, "\tnotice %s peer=%q workspace=%q version=%d\n", n.Kind, n.Peer, n.Shard.Workspace, n.Version)
+	}
+}
--- a/core/text.go
+++ b/core/text.go
@@ -49,6 +49,7 @@
 	PeerBack: "peer-back", PeerDraining: "peer-draining", PeerForgotten: "peer-forgotten",
 	ShardAcquired: "shard-acquired", ShardLost: "shard-lost", StoreAway: "store-away",
 	StoreBack: "store-back", DrainStarted: "drain-started", OwnerClockBehind: "owner-clock-behind",
+	OwnClockBehind:  "own-clock-behind",
 	ManifestRefused: "manifest-refused",
 }
 
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -20,7 +20,7 @@
 	f.Add([]byte(`{"workspaces":[],"services":[{"name":"s"}],"routes":[{"name":"r","method":"GET","path":"/","service":"s","timeout":"1s"}]}`))
 	f.Add([]byte(`{"workspaces":[{"name":"w","rate":1e300,"burst":1,"keys":null}],"services":[],"routes":[]}`))
 	f.Add([]byte(`[]`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		var m manifest.Manifest
 		if err := Decode("fuzz.json", data, Manifest, &m); err != nil {
 			return
--- a/io/node/wire.go
+++ b/io/node/wire.go
@@ -14,6 +14,8 @@
 	methodConfig   = "config"
 	methodAsk      = "ask"
 	methodGrant    = "grant"
+	methodEcho     = "echo"
+	methodEchoed   = "echoed"
 	methodRecord   = "record"
 	methodRecorded = "recorded"
 	methodHandover = "handover"
@@ -37,6 +39,10 @@
 		return methodAsk
 	case *core.TokenGrant:
 		return methodGrant
+	case *core.Echo:
+		return methodEcho
+	case *core.Echoed:
+		return methodEchoed
 	case *core.Record:
 		return methodRecord
 	case *core.Recorded:
@@ -60,6 +66,10 @@
 		return &core.TokenAsk{}
 	case methodGrant:
 		return &core.TokenGrant{}
+	case methodEcho:
+		return &core.Echo{}
+	case methodEchoed:
+		return &core.Echoed{}
 	case methodRecord:
 		return &core.Record{}
 	case methodRecorded:
