cmd/bench: experiments over the real program, with two baselines

Cause: nothing was measured. Change: bench step, overhead, overload, recovery, fair, inside; nodes, targets and store are processes of their own; baselines off and static; plots. Found: the token holder asked for one token at a time and kept a list of batches as long as its lookahead, so a busy node's step took 8.7 us and grew. Ruled out: allocation (0.0001 a step). It now asks when half its lookahead is used up.

--- /dev/null
+++ b/cmd/bench/experiments.go
@@ -0,0 +1,22 @@
+package main
+
+import "context"
+
+// experiment is one thing that can be measured.
+type experiment struct {
+	name   string
+	about  string
+	target string
+	run    func(ctx context.Context, r request) (Result, error)
+}
+
+func experiments() []experiment {
+	return []experiment{
+		{"step", "reducer on one core", "steps >= 1,000,000, allocs 0", step},
+		{"overhead", "latency added to a call by its two nodes", "added <= 0.41", overhead},
+		{"overload", "demand of three times capacity", "ratio >= 0.95, vital >= 0.999, waste <= 0.03, p99 <= 2 calm", overload},
+		{"recovery", "a deep service ten times slower for 10 s", "recover <= 1, off stays collapsed", recovery},
+		{"fair", "one workspace at five times its rate", "worst >= 0.98", fair},
+		{"inside", "every workspace within its rate, one slow endpoint", "wrong <= 0.0005", inside},
+	}
+}
--- /dev/null
+++ b/cmd/bench/load.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/quota"
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/standin"
+)
+
+const (
+	callerTimeout = 2 * time.Second
+	callerRetries = 3
+	callerPause   = 100 * time.Millisecond
+	// stretch slows the examples' targets, so that the machine carries their
+	// saturation and three times as much on top.
+	stretch = 2
+)
+
+func shardsOf(w manifest.Workspace) int {
+	return quota.Allowance{Rate: w.Rate, Burst: w.Burst}.Shards()
+}
+
+// example returns an example whose targets are slowed by stretch.
+func example(name string) (fleet.Deployment, manifest.Manifest, error) {
+	d, m, err := fleet.Example(name)
+	if err != nil {
+		return d, m, err
+	}
+	for i := range d.Services {
+		b := slices.Clone(d.Services[i].Behaviours)
+		for k := range b {
+			b[k].Time.Duration *= stretch
+		}
+		d.Services[i].Behaviours = b
+	}
+	return d, m, nil
+}
+
+// behaviour finds what a path does and at which service.
+func behaviour(d fleet.Deployment, path string) (standin.Behaviour, string) {
+	for _, s := range d.Services {
+		for _, b := range s.Behaviours {
+			if b.Path == path {
+				return b, s.Name
+			}
+		}
+	}
+	return standin.Behaviour{}, ""
+}
+
+// hold adds up how long a call of a path holds a slot at each service of its
+// tree, and returns how long it takes.
+func hold(d fleet.Deployment, path string, share float64, slots map[string]float64) time.Duration {
+	b, service := behaviour(d, path)
+	total := b.Time.Duration
+	for _, c := range b.Children {
+		total += hold(d, c.Path, share, slots)
+	}
+	slots[service] += share * total.Seconds()
+	return total
+}
+
+// capacity returns the root calls a second that an example's targets can carry.
+func capacity(d fleet.Deployment) float64 {
+	slots := map[string]float64{}
+	for _, f := range d.Load {
+		hold(d, f.Path, f.Share, slots)
+	}
+	least := math.Inf(1)
+	for _, s := range d.Services {
+		if slots[s.Name] > 0 {
+			least = min(least, float64(s.Endpoints*s.Slots)/slots[s.Name])
+		}
+	}
+	return least
+}
+
+// scaleRates sets the workspaces' rates so that they add up to a total, in the
+// proportions they have, with a burst of two seconds.
+func scaleRates(m manifest.Manifest, total float64) manifest.Manifest {
+	sum := 0.0
+	for _, w := range m.Workspaces {
+		sum += w.Rate
+	}
+	m.Workspaces = slices.Clone(m.Workspaces)
+	for i := range m.Workspaces {
+		w := &m.Workspaces[i]
+		w.Rate *= total / sum
+		w.Burst = int(2*w.Rate) + 1
+	}
+	return m
+}
+
+// drive sends a load at a total rate and returns its samples.
+func (l *lab) drive(ctx context.Context, r request, rate float64, d time.Duration) []standin.Sample {
+	return l.send(ctx, r, l.deployment.Streams(rate), d)
+}
+
+func (l *lab) send(ctx context.Context, r request, streams []standin.Stream, d time.Duration) []standin.Sample {
+	rounds++
+	return standin.NewLoad(standin.LoadConfig{
+		Entries: l.plan.Entries(), Streams: streams, Duration: d, Seed: r.Seed + uint64(rounds),
+		Timeout: callerTimeout, Retries: callerRetries, Pause: callerPause, Prefix: fmt.Sprintf("%d.", rounds),
+	}).Run(ctx)
+}
+
+// rounds tells the root calls of one load of a run from those of another.
+var rounds int
+
+// goodput returns the whole requests a second that were completed in a window.
+func goodput(samples []standin.Sample, from, to time.Duration) float64 {
+	n := 0
+	for _, s := range samples {
+		if end := s.Start + s.Latency; s.OK() && end >= from && end < to {
+			n++
+		}
+	}
+	return float64(n) / (to - from).Seconds()
+}
+
+// answered returns the share of the calls started in a window that were answered.
+func answered(samples []standin.Sample, from, to time.Duration, want func(s *standin.Sample) bool) float64 {
+	sent, ok := 0, 0
+	for i := range samples {
+		s := &samples[i]
+		if s.Start < from || s.Start >= to || !want(s) {
+			continue
+		}
+		sent++
+		if s.OK() {
+			ok++
+		}
+	}
+	if sent == 0 {
+		return 1
+	}
+	return float64(ok) / float64(sent)
+}
+
+// quantile returns a quantile of the latency of answered calls started in a window.
+func quantile(samples []standin.Sample, q float64, from, to time.Duration) time.Duration {
+	var all []time.Duration
+	for _, s := range samples {
+		if s.OK() && s.Start >= from && s.Start < to {
+			all = append(all, s.Latency)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(len(all)-1, int(q*float64(len(all))))]
+}
+
+func millis(d time.Duration) *float64 { return num(math.Round(d.Seconds()*1e5) / 100) }
+
+// waste returns the share of the targets' work done for root calls that failed,
+// out of those of the given samples.
+func waste(runs []standin.Run, samples []standin.Sample) float64 {
+	ok := make(map[string]bool, len(samples))
+	for _, s := range samples {
+		ok[s.Root] = s.OK()
+	}
+	var all, lost time.Duration
+	for _, r := range runs {
+		good, known := ok[r.Root]
+		if !known {
+			continue
+		}
+		all += r.Work
+		if !good {
+			lost += r.Work
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return lost.Seconds() / all.Seconds()
+}
+
+// without returns the streams of a workspace left out, or only them.
+func without(streams []standin.Stream, workspace string) []standin.Stream {
+	return slices.DeleteFunc(slices.Clone(streams), func(s standin.Stream) bool { return s.Workspace == workspace })
+}
+
+// refusedWithin reports a refusal that no failure of the caller's own explains.
+func refusedWithin(s *standin.Sample) bool {
+	return !s.OK() && s.Status >= http.StatusBadRequest && !strings.HasPrefix(s.Reason, "unknown-")
+}
+
+// patient sends a load whose callers take the first answer.
+func (l *lab) patient(ctx context.Context, r request, streams []standin.Stream, d time.Duration) []standin.Sample {
+	rounds++
+	return standin.NewLoad(standin.LoadConfig{
+		Entries: l.plan.Entries(), Streams: streams, Duration: d, Seed: r.Seed + uint64(rounds),
+		Timeout: callerTimeout, Prefix: fmt.Sprintf("%d.", rounds),
+	}).Run(ctx)
+}
--- /dev/null
+++ b/cmd/bench/recovery.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/standin"
+)
+
+const (
+	recoveryShare   = 0.8
+	recoveryBefore  = 5 * time.Second
+	recoveryFault   = 10 * time.Second
+	recoveryAfter   = 8 * time.Second
+	slowFactor      = 10
+	maxRecover      = 1.0 // seconds
+	recoverShare    = 0.95
+	recoverWindow   = 1 * time.Second
+	recoverStep     = 100 * time.Millisecond
+	collapsedAtMost = 0.8 // share of the goodput before that `off` may have at the end
+)
+
+// deepest returns the service of an example on which most root calls depend.
+func deepest(d fleet.Deployment) string {
+	_, service := behaviour(d, d.Load[0].Path)
+	for b, _ := behaviour(d, d.Load[0].Path); len(b.Children) > 0; {
+		b, service = behaviour(d, b.Children[0].Path)
+	}
+	return service
+}
+
+// recovery slows a deep service tenfold for ten seconds while callers keep
+// retrying.
+func recovery(ctx context.Context, r request) (Result, error) {
+	d, m, err := example(r.Example)
+	if err != nil {
+		return Result{}, err
+	}
+	limit := capacity(d)
+	m = scaleRates(m, 4*limit)
+	var out Result
+	var traces []trace
+	for _, p := range policies(r) {
+		f, samples, err := recovered(ctx, r, d, m, p, recoveryShare*limit)
+		if err != nil {
+			return out, err
+		}
+		traces = append(traces, trace{policy: p, samples: samples})
+		out.put(p, f)
+	}
+	out.OK = *out.Recover >= 0 && *out.Recover <= maxRecover
+	if out.Off != nil {
+		out.OK = out.OK && *out.Off.Ratio < collapsedAtMost
+	}
+	return out, plot(r, traces)
+}
+
+func recovered(ctx context.Context, r request, d fleet.Deployment, m manifest.Manifest, p policy, rate float64) (Figures, []standin.Sample, error) {
+	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: p, keep: r.Keep})
+	if err != nil {
+		return Figures{}, nil, err
+	}
+	defer l.close()
+	l.drive(ctx, r, rate/2, 2*time.Second) // past the cold start
+	service := deepest(d)
+	failed := make(chan error, 2)
+	go func() {
+		time.Sleep(recoveryBefore)
+		failed <- l.serviceFaults(service, standin.TargetFaults{Factor: slowFactor})
+		time.Sleep(recoveryFault)
+		failed <- l.serviceFaults(service, standin.TargetFaults{})
+	}()
+	total := recoveryBefore + recoveryFault + recoveryAfter
+	samples := l.drive(ctx, r, rate, total)
+	for range 2 {
+		if err := <-failed; err != nil {
+			return Figures{}, nil, err
+		}
+	}
+	before := goodput(samples, recoveryBefore/5, recoveryBefore)
+	healed := recoveryBefore + recoveryFault
+	f := Figures{
+		Good: num(before), Recover: num(recoveryTime(samples, before, healed, total)),
+		Low: num(lowest(samples, recoveryBefore, healed) / before),
+	}
+	end := goodput(samples, total-2*recoverWindow, total)
+	f.Ratio = num(end / before)
+	return f, samples, nil
+}
+
+// recoveryTime returns when goodput is back for good, in seconds after healing,
+// or -1.
+func recoveryTime(samples []standin.Sample, before float64, healed, end time.Duration) float64 {
+	for at := healed; at+recoverWindow <= end; at += recoverStep {
+		if goodput(samples, at, at+recoverWindow) >= recoverShare*before {
+			return (at - healed).Seconds()
+		}
+	}
+	return -1
+}
+
+func lowest(samples []standin.Sample, from, to time.Duration) float64 {
+	least := goodput(samples, from, to)
+	for at := from; at+time.Second <= to; at += time.Second {
+		least = min(least, goodput(samples, at, at+time.Second))
+	}
+	return least
+}
--- /dev/null
+++ b/cmd/bench/step.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/member"
+	"celeryshelf/core/quota"
+)
+
+const (
+	stepTime    = 2 * time.Second
+	stepBatch   = 1000 // calls between looks at the clock
+	minSteps    = 1_000_000
+	stepSpacing = time.Microsecond
+)
+
+// busyState returns a lone node that owns its workspace's shards and has tokens
+// to spare.
+func busyState(now time.Time) (*core.State, *core.Arrive) {
+	const rate, burst = 1e8, 200_000_000
+	s := core.New(core.Settings{Self: member.Member{
+		Name: "n", Service: "maps", Domain: "d", Incarnation: 1, Revision: 1,
+		Node: netip.MustParseAddrPort("127.0.0.1:1"), Control: netip.MustParseAddrPort("127.0.0.1:2"),
+	}})
+	w := manifest.Workspace{Name: "w", Rate: rate, Burst: burst, Keys: []manifest.Key{{Name: "k", Digest: manifest.DigestOf("k")}}}
+	s.Step(now, &core.StoreUp{Up: true})
+	s.Step(now, &core.LeaseHeld{Until: now.Add(24 * time.Hour)})
+	s.Step(now, &core.ManifestSeen{Manifest: manifest.Versioned{Version: 1, Manifest: manifest.Manifest{
+		Workspaces: []manifest.Workspace{w}, Services: []manifest.Service{{Name: "maps"}},
+		Routes: []manifest.Route{{
+			Name: "map", Method: "GET", Path: "/map", Service: "maps",
+			Timeout: manifest.Duration{Duration: time.Second},
+		}},
+	}}})
+	n := shardsOf(w)
+	for i := range n {
+		s.Step(now, &core.ClaimDone{Shard: quota.Shard{Workspace: "w", Index: i, Count: n}, Held: true})
+	}
+	return s, &core.Arrive{Route: "map", Key: w.Keys[0].Digest, Keyed: true}
+}
+
+// step runs arrivals and answers through the reducer on one core.
+func step(context.Context, request) (Result, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	now := time.Now()
+	s, arrive := busyState(now)
+	now = now.Add(3 * time.Second)
+	finish := &core.Finish{Whole: true}
+	tick := &core.Tick{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start, steps, refused := time.Now(), 0, 0
+	for time.Since(start) < stepTime {
+		for range stepBatch {
+			arrive.Call++
+			arrive.Seed++
+			now = now.Add(stepSpacing)
+			if e := s.Step(now, arrive); len(e.Verdicts) > 0 && e.Verdicts[0].Action == core.Refuse {
+				refused++
+			}
+			finish.Call = arrive.Call
+			s.Step(now, finish)
+		}
+		s.Step(now, tick)
+		steps += 2*stepBatch + 1
+	}
+	took := time.Since(start)
+	runtime.ReadMemStats(&after)
+	out := Result{Figures: Figures{
+		Steps:  num(float64(steps) / took.Seconds()),
+		Allocs: num(float64(after.Mallocs-before.Mallocs) / float64(steps)),
+		Wrong:  num(float64(refused) / float64(steps)),
+	}}
+	out.OK = *out.Steps >= minSteps && *out.Allocs < 0.001 && refused == 0
+	return out, nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,11 @@
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
 				Action: target,
 			},
+			{
+				Name: "baseline", Usage: "serve a plain node described by a JSON file, to measure against",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
+				Action: baseline,
+			},
 			{
 				Name: "caller", Usage: "make one call and print its status, headers and body",
 				Flags: []cli.Flag{
@@ -84,18 +89,33 @@
 	return serve(ctx, at, s)
 }
 
-func target(ctx context.Context, c *cli.Command) error {
+func readConfig(c *cli.Command, out any) error {
 	text, err := os.ReadFile(c.String("config"))
 	if err != nil {
 		return fmt.Errorf("read config: %w", err)
 	}
-	var config standin.TargetConfig
-	if err := json.Unmarshal(text, &config); err != nil {
+	if err := json.Unmarshal(text, out); err != nil {
 		return fmt.Errorf("decode %s: %w", c.String("config"), err)
 	}
+	return nil
+}
+
+func target(ctx context.Context, c *cli.Command) error {
+	var config standin.TargetConfig
+	if err := readConfig(c, &config); err != nil {
+		return err
+	}
 	return serve(ctx, config.Listen, standin.NewTarget(config))
 }
 
+func baseline(ctx context.Context, c *cli.Command) error {
+	var config standin.BaselineConfig
+	if err := readConfig(c, &config); err != nil {
+		return err
+	}
+	return standin.NewBaseline(config).Serve(ctx)
+}
+
 func call(ctx context.Context, c *cli.Command) error {
 	req, err := http.NewRequestWithContext(ctx, c.String("method"), "http://"+c.String("to")+c.String("path"), nil)
 	if err != nil {
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -9,16 +9,15 @@
 
 // oracleCall is what the oracle knows of a call at the node under test.
 type oracleCall struct {
-	once      bool
-	keyed     bool // has a workspace
-	out       bool // an attempt is under way
-	local     bool // it is at the local target
-	attempts  int
-	ran       Ran
-	redirects int
-	last      Reason
-	parent    CallID
-	root      CallID
+	once     bool
+	keyed    bool // has a workspace
+	out      bool // an attempt is under way
+	local    bool // it is at the local target
+	attempts int
+	ran      Ran
+	last     Reason
+	parent   CallID
+	root     CallID
 }
 
 // oracle checks every verdict on calls against the promises of the brief.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -294,8 +294,9 @@
 		h.ask(now, p, need, 0)
 		return
 	}
-	if want := p.lookahead(now) - p.fresh(now) - pending; want > 0 {
-		h.ask(now, p, want, spareShare)
+	want := p.lookahead(now)
+	if have := p.fresh(now) + pending; 2*have < want+1 {
+		h.ask(now, p, want-have, spareShare)
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Programs are the paths of the built programs.
+type Programs struct {
+	Node    string
+	Standin string
+}
+
+// Build builds the programs into a folder.
+func Build(ctx context.Context, dir string) (Programs, error) {
+	p := Programs{Node: filepath.Join(dir, "celeryshelf"), Standin: filepath.Join(dir, "standin")}
+	for path, pkg := range map[string]string{p.Node: "celeryshelf/cmd/celeryshelf", p.Standin: "celeryshelf/cmd/standin"} {
+		out, err := exec.CommandContext(ctx, "go", "build", "-o", path, pkg).CombinedOutput()
+		if err != nil {
+			return p, fmt.Errorf("build %s: %w\n%s", pkg, err, out)
+		}
+	}
+	return p, nil
+}
+
+// Process is a process that this one has started.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// start runs a program with its output in a file of the folder.
+func start(dir, name, program string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &Process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func (p *Process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() error { return p.signal(syscall.SIGKILL) }
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate asks the process to end.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Wait waits for the process to end and returns its error.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s still runs after %s", p.name, limit)
+	}
+}
+
+// writeJSON writes a configuration into the folder and returns its path.
+func writeJSON(dir, name string, v any) (string, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return "", fmt.Errorf("encode %s: %w", name, err)
+	}
+	file := filepath.Join(dir, name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return "", fmt.Errorf("write %s: %w", name, err)
+	}
+	return file, nil
+}
+
+// StartStore starts the store stand-in.
+func StartStore(p Programs, dir string, at netip.AddrPort) (*Process, error) {
+	return start(dir, "store", p.Standin, "store", "--listen", at.String())
+}
+
+// StartTarget starts a unit's target stand-in.
+func StartTarget(p Programs, dir string, u Unit) (*Process, error) {
+	file, err := writeJSON(dir, "target-"+u.Settings.Name, u.Target)
+	if err != nil {
+		return nil, err
+	}
+	return start(dir, "target-"+u.Settings.Name, p.Standin, "target", "--config", file)
+}
+
+// StartNode starts a unit's node.
+func StartNode(p Programs, dir string, u Unit) (*Process, error) {
+	file, err := writeJSON(dir, "node-"+u.Settings.Name, u.Settings)
+	if err != nil {
+		return nil, err
+	}
+	return start(dir, "node-"+u.Settings.Name, p.Node, "node", "--settings", file)
+}
+
+// StartBaseline starts a plain node in a unit's place.
+func StartBaseline(p Programs, dir string, u Unit, config any) (*Process, error) {
+	file, err := writeJSON(dir, "node-"+u.Settings.Name, config)
+	if err != nil {
+		return nil, err
+	}
+	return start(dir, "node-"+u.Settings.Name, p.Standin, "baseline", "--config", file)
+}
--- /dev/null
+++ b/internal/standin/baseline.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// BaselineRoute maps a method and path onto a service.
+type BaselineRoute struct {
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Service string `json:"service"`
+}
+
+// BaselineService lists the nodes of a service.
+type BaselineService struct {
+	Name  string           `json:"name"`
+	Nodes []netip.AddrPort `json:"nodes"`
+}
+
+// BaselineConfig describes a node that knows no overload control but a limit, to
+// measure against.
+type BaselineConfig struct {
+	Caller   netip.AddrPort    `json:"caller"`
+	Outgoing netip.AddrPort    `json:"outgoing"`
+	Node     netip.AddrPort    `json:"node"`
+	Target   netip.AddrPort    `json:"target"`
+	Services []BaselineService `json:"services"`
+	Routes   []BaselineRoute   `json:"routes"`
+	Retries  int               `json:"retries"` // at each hop
+	Limit    int               `json:"limit"`   // calls at the target at once, 0 for no limit
+	Queue    int               `json:"queue"`   // calls that wait for the limit, first come first served
+	Timeout  time.Duration     `json:"timeout"`
+}
+
+// Baseline is a plain forwarding node.
+type Baseline struct {
+	BaselineConfig
+	routes  map[string][]netip.AddrPort
+	slots   chan struct{}
+	waiting atomic.Int64
+	turn    atomic.Uint64
+	nodes   *http.Transport
+	target  *http.Transport
+}
+
+// NewBaseline returns a baseline node.
+func NewBaseline(c BaselineConfig) *Baseline {
+	b := &Baseline{
+		BaselineConfig: c, routes: map[string][]netip.AddrPort{},
+		slots:  make(chan struct{}, max(1, c.Limit)),
+		nodes:  &http.Transport{MaxIdleConnsPerHost: 4096, Protocols: cleartextHTTP2()},
+		target: &http.Transport{MaxIdleConnsPerHost: 4096},
+	}
+	for _, r := range c.Routes {
+		for _, s := range c.Services {
+			if s.Name == r.Service {
+				b.routes[r.Method+" "+r.Path] = s.Nodes
+			}
+		}
+	}
+	return b
+}
+
+func cleartextHTTP2() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// Serve serves all sides until the context ends.
+func (b *Baseline) Serve(ctx context.Context) error {
+	protocols := cleartextHTTP2()
+	protocols.SetHTTP1(true)
+	failed := make(chan error, 3)
+	for at, h := range map[netip.AddrPort]http.HandlerFunc{
+		b.Caller: b.forward, b.Outgoing: b.forward, b.Node: b.run,
+	} {
+		l, err := net.Listen("tcp", at.String())
+		if err != nil {
+			return err
+		}
+		s := &http.Server{Handler: h, Protocols: protocols, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 100000}}
+		context.AfterFunc(ctx, func() { _ = s.Close() })
+		go func() { failed <- s.Serve(l) }()
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// forward sends a call to the nodes of its service in turn, and again after a
+// failure.
+func (b *Baseline) forward(w http.ResponseWriter, r *http.Request) {
+	nodes := b.routes[r.Method+" "+r.URL.Path]
+	if len(nodes) == 0 {
+		http.NotFound(w, r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), b.Timeout)
+	defer cancel()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	for try := 0; ; try++ {
+		at := nodes[int(b.turn.Add(1))%len(nodes)]
+		res, err := b.send(ctx, b.nodes, at, r, body)
+		last := try >= b.Retries || ctx.Err() != nil
+		if err == nil && (res.StatusCode < http.StatusInternalServerError || last) {
+			pass(w, res)
+			return
+		}
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		if last {
+			http.Error(w, "failed", http.StatusBadGateway)
+			return
+		}
+	}
+}
+
+// run hands a call to the local target once there is room.
+func (b *Baseline) run(w http.ResponseWriter, r *http.Request) {
+	if b.Limit > 0 {
+		if b.waiting.Add(1) > int64(b.Queue+b.Limit) {
+			b.waiting.Add(-1)
+			http.Error(w, "full", http.StatusServiceUnavailable)
+			return
+		}
+		defer b.waiting.Add(-1)
+		select {
+		case b.slots <- struct{}{}:
+			defer func() { <-b.slots }()
+		case <-r.Context().Done():
+			return
+		}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	res, err := b.send(r.Context(), b.target, b.Target, r, body)
+	if err != nil {
+		http.Error(w, "failed", http.StatusBadGateway)
+		return
+	}
+	pass(w, res)
+}
+
+func (b *Baseline) send(ctx context.Context, t *http.Transport, at netip.AddrPort, r *http.Request, body []byte) (*http.Response, error) {
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+at.String()+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	out.Header = r.Header.Clone()
+	out.Header.Del("Authorization")
+	return t.RoundTrip(out)
+}
+
+func pass(w http.ResponseWriter, res *http.Response) {
+	defer func() { _ = res.Body.Close() }()
+	for name, values := range res.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(res.StatusCode)
+	_, _ = io.Copy(w, res.Body)
+}
