core/retry: budgets drawn from a ratio at the entry; bench for fleet-wide promises

Cause: retries measured 1.396 attempts at the deepest target per root call: each hop kept to its own ratio, and the target's own repeats to none. Ruled out: growth of a single budget (most was 3 = 1 + 2). Change: a root call draws its budget from its entry's bound, a tenth of the root calls, and returns what its tree did not spend. Experiments once, retries, quota, rollout, storeout, paused, roll.

--- a/cmd/bench/experiments.go
+++ b/cmd/bench/experiments.go
@@ -17,6 +17,13 @@
 		{"overload", "demand of three times capacity", "ratio >= 0.95, vital >= 0.999, waste <= 0.03, p99 <= 2 calm", overload},
 		{"recovery", "a deep service ten times slower for 10 s", "recover <= 1, off stays collapsed", recovery},
 		{"fair", "one workspace at five times its rate", "worst >= 0.98", fair},
+		{"once", "non-idempotent calls while nodes and targets fail", "doubled 0, lies 0 of 10,000", once},
+		{"retries", "faults at every hop of a chain of eight", "tries <= 1.1, most <= 1 + budget", retries},
+		{"quota", "demand within the rates, moving, and over them", "over 0, wrong <= 0.001, moving <= 0.01", quotas},
+		{"rollout", "manifests applied, and keys withdrawn on open connections", "spread <= 2, back 0", rollout},
+		{"storeout", "the store away for 30 s under load", "lost 0, wrong <= 0.001, over 0", storeout},
+		{"paused", "an owner of shards stopped past its lease", "over 0", paused},
+		{"roll", "every node replaced under load", "cut 0", roll},
 		{"inside", "every workspace within its rate, one slow endpoint", "wrong <= 0.0005", inside},
 	}
 }
--- a/cmd/bench/lab.go
+++ b/cmd/bench/lab.go
@@ -276,21 +276,28 @@
 func (l *lab) runs() ([]standin.Run, error) {
 	var out []standin.Run
 	for _, u := range l.plan.Units {
-		res, err := http.Get("http://" + u.Settings.Target.String() + "/standin/runs")
+		runs, err := l.runsOf(u)
 		if err != nil {
-			return nil, fmt.Errorf("read runs: %w", err)
-		}
-		var runs []standin.Run
-		err = json.NewDecoder(res.Body).Decode(&runs)
-		_ = res.Body.Close()
-		if err != nil {
-			return nil, fmt.Errorf("decode runs: %w", err)
+			return nil, err
 		}
 		out = append(out, runs...)
 	}
 	return out, nil
 }
 
+func (l *lab) runsOf(u fleet.Unit) ([]standin.Run, error) {
+	res, err := http.Get("http://" + u.Settings.Target.String() + "/standin/runs")
+	if err != nil {
+		return nil, fmt.Errorf("read runs: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	var runs []standin.Run
+	if err := json.NewDecoder(res.Body).Decode(&runs); err != nil {
+		return nil, fmt.Errorf("decode runs: %w", err)
+	}
+	return runs, nil
+}
+
 // close ends every process that the lab has started.
 func (l *lab) close() {
 	var all []*fleet.Process
--- /dev/null
+++ b/cmd/bench/once.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryshelf/internal/standin"
+)
+
+const (
+	onceRate   = 360.0
+	onceTime   = 32 * time.Second
+	onceFault  = 2500 * time.Millisecond // between one fault and the next
+	onceDown   = 800 * time.Millisecond
+	onceDelay  = 3 * time.Second // past every caller's timeout
+	minOnce    = 10_000
+	maxTries   = 1.1
+	faultShare = 0.05
+	retryRate  = 60.0
+	retryTime  = 15 * time.Second
+	targetTry  = 3 // attempts that a careless target makes at a child call
+)
+
+// once sends non-idempotent calls while nodes and targets are killed and frozen
+// and answers come too late.
+func once(ctx context.Context, r request) (Result, error) {
+	d, m, err := example(r.Example)
+	if err != nil {
+		return Result{}, err
+	}
+	m = scaleRates(m, 6*onceRate)
+	d.Load = slices.DeleteFunc(d.Load, func(f fleetFlow) bool { return !f.Once })
+	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: 10 * time.Second})
+	if err != nil {
+		return Result{}, err
+	}
+	defer l.close()
+	stop, cancel := context.WithCancel(ctx)
+	var earlier []standin.Run
+	failed := make(chan error, 1)
+	go func() { failed <- l.vex(stop, &earlier) }()
+	streams := d.Streams(onceRate / flowShare(d.Load))
+	samples := l.load(ctx, r, standin.LoadConfig{
+		Streams: streams, Duration: onceTime, Retries: callerRetries, Pause: callerPause, Keyed: true,
+	})
+	cancel()
+	if err := <-failed; err != nil {
+		return Result{}, err
+	}
+	runs, err := l.runs()
+	if err != nil {
+		return Result{}, err
+	}
+	doubled, lies := l.judgeOnce(append(earlier, runs...), samples)
+	out := Result{Figures: Figures{
+		Sent: count(len(samples)), Doubled: count(doubled), Lies: count(lies),
+		Good: num(answered(samples, 0, onceTime, func(*standin.Sample) bool { return true })), Why: causes(samples),
+	}}
+	out.OK = len(samples) >= minOnce && doubled == 0 && lies == 0
+	return out, nil
+}
+
+// vex brings one fault after the other over the units until the context ends. It
+// keeps what killed targets had done.
+func (l *lab) vex(ctx context.Context, earlier *[]standin.Run) error {
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(onceFault):
+		}
+		u := l.plan.Units[(n*5)%len(l.plan.Units)]
+		name := u.Settings.Name
+		var err error
+		switch n % 4 {
+		case 0:
+			err = l.bounceNode(name)
+		case 1:
+			err = l.targetFaults(name, standin.TargetFaults{Delay: onceDelay})
+			time.Sleep(onceDown)
+			err = errors.CombineErrors(err, l.targetFaults(name, standin.TargetFaults{}))
+		case 2:
+			err = l.bounceTarget(name, earlier)
+		case 3:
+			err = errors.CombineErrors(l.nodes[name].Freeze(), func() error { time.Sleep(onceDown); return l.nodes[name].Thaw() }())
+		}
+		if err != nil {
+			return fmt.Errorf("fault %d at %s: %w", n, name, err)
+		}
+	}
+}
+
+// bounceNode kills a node and starts another in its place.
+func (l *lab) bounceNode(name string) error {
+	if err := l.nodes[name].Kill(); err != nil {
+		return err
+	}
+	_ = l.nodes[name].Wait(stopLimit)
+	time.Sleep(onceDown)
+	return l.startNode(l.unit(name))
+}
+
+// bounceTarget kills a target with its node. The node is stopped first, so that
+// the target's own record is whole when it is read.
+func (l *lab) bounceTarget(name string, earlier *[]standin.Run) error {
+	if err := l.nodes[name].Freeze(); err != nil {
+		return err
+	}
+	time.Sleep(onceDown / 2)
+	runs, err := l.runsOf(l.unit(name))
+	if err != nil {
+		return err
+	}
+	*earlier = append(*earlier, runs...)
+	if err := l.targets[name].Kill(); err != nil {
+		return err
+	}
+	_ = l.targets[name].Wait(stopLimit)
+	if err := l.startTarget(l.unit(name)); err != nil {
+		return err
+	}
+	return l.bounceNode(name)
+}
+
+// judgeOnce counts, over all targets, the once calls that ran twice and the calls
+// that ran more often than their refusals admit.
+func (l *lab) judgeOnce(runs []standin.Run, samples []standin.Sample) (doubled, lies int) {
+	type key struct{ root, path string }
+	total := map[key]int{}
+	for _, r := range runs {
+		total[key{r.Root, r.Path}] += r.Runs
+	}
+	for k, n := range total {
+		if n > 1 && l.isOnce(k.path) {
+			doubled++
+		}
+	}
+	streams := l.deployment.Streams(1)
+	for _, s := range samples {
+		if total[key{s.Root, streams[s.Stream].Path}] > s.Attempts-s.NotRun {
+			lies++
+		}
+	}
+	return doubled, lies
+}
+
+func (l *lab) isOnce(path string) bool {
+	for _, r := range l.manifest.Routes {
+		if r.Path == path {
+			return r.Once
+		}
+	}
+	return false
+}
+
+// retries has every target of a chain of eight fail some calls, with targets that
+// repeat their own child calls.
+func retries(ctx context.Context, r request) (Result, error) {
+	d, m, err := example(r.Example)
+	if err != nil {
+		return Result{}, err
+	}
+	m = scaleRates(m, 10*retryRate)
+	start := m.Routes[len(m.Routes)-1]
+	d.Load = []fleetFlow{{Method: start.Method, Path: start.Path, Share: 1}}
+	last := start.Path
+	for b, _ := behaviour(d, last); len(b.Children) > 0; b, _ = behaviour(d, last) {
+		last = b.Children[0].Path
+	}
+	for i := range d.Services {
+		for k := range d.Services[i].Behaviours {
+			d.Services[i].Behaviours[k].Tries = targetTry
+		}
+	}
+	var out Result
+	for _, p := range policies(r) {
+		f, err := retried(ctx, r, labConfig{deployment: d, manifest: m, policy: p, keep: r.Keep}, last)
+		if err != nil {
+			return out, err
+		}
+		out.put(p, f)
+	}
+	out.OK = *out.Tries <= maxTries && int(*out.Most) <= 1+m.Retries
+	return out, nil
+}
+
+func retried(ctx context.Context, r request, c labConfig, last string) (Figures, error) {
+	l, err := newLab(ctx, c)
+	if err != nil {
+		return Figures{}, err
+	}
+	defer l.close()
+	if err := l.serviceFaults("", standin.TargetFaults{Fail: faultShare}); err != nil {
+		return Figures{}, err
+	}
+	samples := l.patient(ctx, r, l.deployment.Streams(retryRate), retryTime)
+	runs, err := l.runs()
+	if err != nil {
+		return Figures{}, err
+	}
+	perRoot := map[string]int{}
+	total, most := 0, 0
+	for _, run := range runs {
+		if run.Path == last {
+			perRoot[run.Root] += run.Runs
+			total += run.Runs
+			most = max(most, perRoot[run.Root])
+		}
+	}
+	return Figures{
+		Tries: num(float64(total) / float64(max(1, len(samples)))), Most: count(most), Sent: count(len(samples)),
+		Good: num(answered(samples, 0, retryTime, func(*standin.Sample) bool { return true })),
+	}, nil
+}
--- /dev/null
+++ b/cmd/bench/roll.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"celeryshelf/internal/standin"
+)
+
+const (
+	rollLimit  = 20 * time.Second
+	pauseTime  = 12 * time.Second // past the lease
+	pauseLease = 5 * time.Second
+)
+
+// get makes a call with a key and returns its status, 0 if there was no answer.
+func get(ctx context.Context, at netip.AddrPort, path, key string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+path, nil)
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// roll replaces every node by another process, one after the other, under load.
+// Callers enter at nodes that stay, as they would behind addresses that are taken
+// out before a planned stop.
+func roll(ctx context.Context, r request) (Result, error) {
+	d, m, err := plain(r.Example)
+	if err != nil {
+		return Result{}, err
+	}
+	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: 10 * time.Second, grace: time.Second})
+	if err != nil {
+		return Result{}, err
+	}
+	defer l.close()
+	half := len(l.plan.Units) / 2
+	var samples []standin.Sample
+	for part, units := range [][]int{{0, half}, {half, len(l.plan.Units)}} {
+		entries := l.plan.Entries()
+		entries = slices.Delete(entries, units[0], units[1])
+		done := make(chan error, 1)
+		stop, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			done <- l.replace(units[0], units[1])
+		}()
+		samples = append(samples, l.load(stop, r, standin.LoadConfig{
+			Streams: d.Streams(rollRate), Duration: 40 * time.Second, Entries: entries,
+		})...)
+		if err := <-done; err != nil {
+			return Result{}, fmt.Errorf("part %d: %w", part+1, err)
+		}
+	}
+	// The calls that were under way when a part's load was called off are not
+	// cut by any node.
+	samples = slices.DeleteFunc(samples, func(s standin.Sample) bool {
+		return s.Status == 0 && s.Latency < callerTimeout && s.Reason == "" && last(samples, s)
+	})
+	out := Result{Figures: Figures{
+		Cut: count(unanswered(samples)), Sent: count(len(samples)),
+		Wrong: num(1 - answered(samples, 0, time.Hour, everyone)), Why: causes(samples),
+	}}
+	out.OK = *out.Cut == 0
+	return out, nil
+}
+
+// last reports whether a sample belongs to the end of its part's load.
+func last(samples []standin.Sample, s standin.Sample) bool {
+	end := time.Duration(0)
+	for _, o := range samples {
+		if o.Root[:2] == s.Root[:2] {
+			end = max(end, o.Start)
+		}
+	}
+	return end-s.Start < callerTimeout
+}
+
+// replace terminates nodes one by one and starts others in their places.
+func (l *lab) replace(from, to int) error {
+	for _, u := range l.plan.Units[from:to] {
+		name := u.Settings.Name
+		if err := l.nodes[name].Terminate(); err != nil {
+			return err
+		}
+		if err := l.nodes[name].Wait(rollLimit); err != nil {
+			return fmt.Errorf("leave: %w", err)
+		}
+		if err := l.startNode(u); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// paused stops the owners of shards past their lease and lets them wake.
+func paused(ctx context.Context, r request) (Result, error) {
+	d, m, err := plain(r.Example)
+	if err != nil {
+		return Result{}, err
+	}
+	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: pauseLease})
+	if err != nil {
+		return Result{}, err
+	}
+	defer l.close()
+	s, err := l.status(ctx, l.plan.Units[0].Settings.Name)
+	if err != nil {
+		return Result{}, err
+	}
+	owner := s.Shards[0].Owner
+	entries := slices.DeleteFunc(l.plan.Entries(), func(a netip.AddrPort) bool { return a == l.unit(owner).Settings.Listen.Caller })
+	failed := make(chan error, 2)
+	go func() {
+		time.Sleep(2 * time.Second)
+		failed <- l.nodes[owner].Freeze()
+		time.Sleep(pauseTime)
+		failed <- l.nodes[owner].Thaw()
+	}()
+	streams := d.Streams(quotaGreedy * quotaRate)
+	samples := l.load(ctx, r, standin.LoadConfig{Streams: streams, Duration: pauseTime + 6*time.Second, Entries: entries})
+	for range 2 {
+		if err := <-failed; err != nil {
+			return Result{}, err
+		}
+	}
+	runs, err := l.runs()
+	if err != nil {
+		return Result{}, err
+	}
+	out := Result{Figures: Figures{Over: num(over(runs, streams, m)), Sent: count(len(samples)), Why: causes(samples)}}
+	out.OK = *out.Over == 0
+	return out, nil
+}
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -20,9 +20,6 @@
 		s.refuse(now, c, NoEndpoint)
 		return
 	}
-	if c.attempts == 0 {
-		s.ratio.First()
-	}
 	c.endpoint, c.began = e, now
 	c.attempts++
 	e.Begin()
@@ -156,7 +153,7 @@
 	if c.level > 0 {
 		return false
 	}
-	return c.budget.Left() > 0 && s.ratio.Spend(now) && c.budget.Spend()
+	return c.budget.Spend()
 }
 
 // repeatable reports whether another attempt of a call is safe and of any use.
--- a/core/call.go
+++ b/core/call.go
@@ -79,6 +79,9 @@
 func (s *State) end(now time.Time, c *call, ok bool) {
 	delete(s.calls, c.id)
 	s.free = append(s.free, c)
+	if c.origin == FromCaller {
+		s.ratio.Return(c.budget)
+	}
 	if c.parent == 0 {
 		return
 	}
@@ -152,7 +155,7 @@
 	}
 	c.rank = admit.Rank{Important: r.Important, Hash: s.rankHash(e.Seed)}
 	if e.Origin == FromCaller {
-		c.budget = retry.NewBudget(s.config.source.Manifest.Retries)
+		c.budget = s.ratio.Draw(now, s.config.source.Manifest.Retries)
 	}
 	s.identify(c, e.Repeat)
 	if c.rank.Score() < s.levels.Level(now, c.route, c.workspace) {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -38,34 +38,36 @@
 }
 
 const (
-	// ratioGain is the share of first attempts that may be repeated.
+	// ratioGain is the extra attempts that each root call allows, so that those of
+	// all trees together stay below this share of the root calls.
 	ratioGain = 0.1
-	ratioCap  = 20.0
-	// ratioRefill lets a node with little traffic retry at all, in retries a second.
-	ratioRefill = 1.0
+	ratioCap  = 4.0
+	// ratioRefill lets a node with little traffic retry at all, in attempts a second.
+	ratioRefill = 0.1
 )
 
-// Ratio bounds a node's extra attempts to a share of its first attempts.
+// Ratio bounds the extra attempts of all trees that enter at a node. Root calls
+// draw their budgets from it and give back what they did not spend.
 type Ratio struct {
 	tokens float64
 	last   time.Time
 }
 
-// NewRatio returns a full bound.
-func NewRatio() *Ratio { return &Ratio{tokens: ratioCap} }
+// NewRatio returns a bound that allows one tree its extra attempts.
+func NewRatio() *Ratio { return &Ratio{tokens: ratioCap / 2} }
 
-// First counts a first attempt.
-func (r *Ratio) First() { r.tokens = min(ratioCap, r.tokens+ratioGain) }
-
-// Spend takes one extra attempt and reports whether the ratio allows it.
-func (r *Ratio) Spend(now time.Time) bool {
+// Draw counts a root call and takes up to n extra attempts for its tree.
+func (r *Ratio) Draw(now time.Time, n int) Budget {
+	r.tokens += ratioGain
 	if !r.last.IsZero() {
-		r.tokens = min(ratioCap, r.tokens+ratioRefill*now.Sub(r.last).Seconds())
+		r.tokens += ratioRefill * now.Sub(r.last).Seconds()
 	}
 	r.last = now
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
+	r.tokens = min(ratioCap, r.tokens)
+	got := max(0, min(n, int(r.tokens)))
+	r.tokens -= float64(got)
+	return NewBudget(got)
 }
+
+// Return gives back what a tree did not spend.
+func (r *Ratio) Return(b Budget) { r.tokens = min(ratioCap, r.tokens+float64(b.left)) }
