--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/fleet"
 	"celeryshelf/internal/standin"
@@ -93,20 +95,39 @@
 	return worst
 }
 
+// plainLab starts a lab of a plain example.
+func plainLab(ctx context.Context, r request, lease, grace time.Duration) (*lab, error) {
+	d, m, err := plain(r.Example)
+	if err != nil {
+		return nil, err
+	}
+	return newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: lease, grace: grace})
+}
+
+// between does one thing after a lead time and another after a while, and hands
+// on what went wrong.
+func between(lead, while time.Duration, first, second func() error) <-chan error {
+	failed := make(chan error, 1)
+	go func() {
+		time.Sleep(lead)
+		err := first()
+		time.Sleep(while)
+		failed <- errors.CombineErrors(err, second())
+	}()
+	return failed
+}
+
 func everyone(*standin.Sample) bool { return true }
 
 // quota sends steady demand within the rates, demand that moves to other nodes,
 // and then three times the rates.
 func quotas(ctx context.Context, r request) (Result, error) {
-	d, m, err := plain(r.Example)
-	if err != nil {
-		return Result{}, err
-	}
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep})
+	l, err := plainLab(ctx, r, 0, 0)
 	if err != nil {
 		return Result{}, err
 	}
 	defer l.close()
+	d, m := l.deployment, l.manifest
 	entries := l.plan.Entries()
 	streams := d.Streams(quotaSteady * quotaRate)
 	steady := l.patient(ctx, r, streams, quotaTime)
@@ -158,15 +179,12 @@
 // rollout applies manifests and times until the last node has each in force; the
 // even ones withdraw a key that an open connection goes on using.
 func rollout(ctx context.Context, r request) (Result, error) {
-	d, m, err := plain(r.Example)
-	if err != nil {
-		return Result{}, err
-	}
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep})
+	l, err := plainLab(ctx, r, 0, 0)
 	if err != nil {
 		return Result{}, err
 	}
 	defer l.close()
+	d, m := l.deployment, l.manifest
 	with, withoutKeys := m, m
 	withoutKeys.Workspaces = slices.Clone(m.Workspaces)
 	withoutKeys.Workspaces[0].Keys = nil
@@ -212,29 +230,20 @@
 
 // storeout takes the store away under load.
 func storeout(ctx context.Context, r request) (Result, error) {
-	d, m, err := plain(r.Example)
-	if err != nil {
-		return Result{}, err
-	}
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep})
+	l, err := plainLab(ctx, r, 0, 0)
 	if err != nil {
 		return Result{}, err
 	}
 	defer l.close()
-	failed := make(chan error, 2)
-	go func() {
-		time.Sleep(outageLead)
-		failed <- l.storeFaults(standin.Faults{Away: true})
-		time.Sleep(outageTime)
-		failed <- l.storeFaults(standin.Faults{})
-	}()
+	d, m := l.deployment, l.manifest
+	failed := between(outageLead, outageTime,
+		func() error { return l.storeFaults(standin.Faults{Away: true}) },
+		func() error { return l.storeFaults(standin.Faults{}) })
 	total := outageTime + 2*outageLead
 	streams := d.Streams(quotaSteady * quotaRate)
 	samples := l.patient(ctx, r, streams, total)
-	for range 2 {
-		if err := <-failed; err != nil {
-			return Result{}, err
-		}
+	if err := <-failed; err != nil {
+		return Result{}, err
 	}
 	runs, err := l.runs()
 	if err != nil {
--- a/cmd/bench/lab.go
+++ b/cmd/bench/lab.go
@@ -51,6 +51,7 @@
 	lease      time.Duration
 	grace      time.Duration
 	keep       string
+	careless   bool // targets go on working for callers that have left
 }
 
 // lab is a deployment of separate processes on loopback.
@@ -134,6 +135,7 @@
 }
 
 func (l *lab) startTarget(u fleet.Unit) error {
+	u.Target.Careless = l.careless
 	p, err := fleet.StartTarget(l.programs, l.dir, u)
 	l.targets[u.Settings.Name] = p
 	return err
--- a/cmd/bench/recovery.go
+++ b/cmd/bench/recovery.go
@@ -15,7 +15,8 @@
 	recoveryFault   = 10 * time.Second
 	recoveryAfter   = 8 * time.Second
 	slowFactor      = 10
-	maxRecover      = 1.0 // seconds
+	recoveryQueue   = 1000 // calls that wait in a target, longer than their callers do
+	maxRecover      = 1.0  // seconds
 	recoverShare    = 0.95
 	recoverWindow   = 1 * time.Second
 	recoverStep     = 100 * time.Millisecond
@@ -40,6 +41,9 @@
 	}
 	limit := capacity(d)
 	m = scaleRates(m, 4*limit)
+	for i := range d.Services {
+		d.Services[i].Queue = recoveryQueue
+	}
 	var out Result
 	var traces []trace
 	for _, p := range policies(r) {
@@ -58,26 +62,20 @@
 }
 
 func recovered(ctx context.Context, r request, d fleet.Deployment, m manifest.Manifest, p policy, rate float64) (Figures, []standin.Sample, error) {
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: p, keep: r.Keep})
+	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: p, keep: r.Keep, careless: true})
 	if err != nil {
 		return Figures{}, nil, err
 	}
 	defer l.close()
 	l.drive(ctx, r, rate/2, 2*time.Second) // past the cold start
 	service := deepest(d)
-	failed := make(chan error, 2)
-	go func() {
-		time.Sleep(recoveryBefore)
-		failed <- l.serviceFaults(service, standin.TargetFaults{Factor: slowFactor})
-		time.Sleep(recoveryFault)
-		failed <- l.serviceFaults(service, standin.TargetFaults{})
-	}()
+	failed := between(recoveryBefore, recoveryFault,
+		func() error { return l.serviceFaults(service, standin.TargetFaults{Factor: slowFactor}) },
+		func() error { return l.serviceFaults(service, standin.TargetFaults{}) })
 	total := recoveryBefore + recoveryFault + recoveryAfter
 	samples := l.drive(ctx, r, rate, total)
-	for range 2 {
-		if err := <-failed; err != nil {
-			return Figures{}, nil, err
-		}
+	if err := <-failed; err != nil {
+		return Figures{}, nil, err
 	}
 	before := goodput(samples, recoveryBefore/5, recoveryBefore)
 	healed := recoveryBefore + recoveryFault
--- a/cmd/bench/result.go
+++ b/cmd/bench/result.go
@@ -10,6 +10,9 @@
 
 	Figures
 
+	Points []Point `json:"points,omitempty"`
+	Fits   []Fit   `json:"fits,omitempty"`
+
 	Off    *Figures `json:"off,omitempty"`
 	Static *Figures `json:"static,omitempty"`
 }
--- a/cmd/bench/roll.go
+++ b/cmd/bench/roll.go
@@ -15,6 +15,8 @@
 	rollLimit  = 20 * time.Second
 	pauseTime  = 12 * time.Second // past the lease
 	pauseLease = 5 * time.Second
+	rollLease  = 10 * time.Second
+	rollGrace  = 1 * time.Second
 )
 
 // get makes a call with a key and returns its status, 0 if there was no answer.
@@ -36,11 +38,7 @@
 // Callers enter at nodes that stay, as they would behind addresses that are taken
 // out before a planned stop.
 func roll(ctx context.Context, r request) (Result, error) {
-	d, m, err := plain(r.Example)
-	if err != nil {
-		return Result{}, err
-	}
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: 10 * time.Second, grace: time.Second})
+	l, err := plainLab(ctx, r, rollLease, rollGrace)
 	if err != nil {
 		return Result{}, err
 	}
@@ -57,7 +55,7 @@
 			done <- l.replace(units[0], units[1])
 		}()
 		samples = append(samples, l.load(stop, r, standin.LoadConfig{
-			Streams: d.Streams(rollRate), Duration: 40 * time.Second, Entries: entries,
+			Streams: l.deployment.Streams(rollRate), Duration: 40 * time.Second, Entries: entries,
 		})...)
 		if err := <-done; err != nil {
 			return Result{}, fmt.Errorf("part %d: %w", part+1, err)
@@ -107,11 +105,7 @@
 
 // paused stops the owners of shards past their lease and lets them wake.
 func paused(ctx context.Context, r request) (Result, error) {
-	d, m, err := plain(r.Example)
-	if err != nil {
-		return Result{}, err
-	}
-	l, err := newLab(ctx, labConfig{deployment: d, manifest: m, policy: celery, keep: r.Keep, lease: pauseLease})
+	l, err := plainLab(ctx, r, pauseLease, 0)
 	if err != nil {
 		return Result{}, err
 	}
@@ -122,25 +116,17 @@
 	}
 	owner := s.Shards[0].Owner
 	entries := slices.DeleteFunc(l.plan.Entries(), func(a netip.AddrPort) bool { return a == l.unit(owner).Settings.Listen.Caller })
-	failed := make(chan error, 2)
-	go func() {
-		time.Sleep(2 * time.Second)
-		failed <- l.nodes[owner].Freeze()
-		time.Sleep(pauseTime)
-		failed <- l.nodes[owner].Thaw()
-	}()
-	streams := d.Streams(quotaGreedy * quotaRate)
+	failed := between(2*time.Second, pauseTime, l.nodes[owner].Freeze, l.nodes[owner].Thaw)
+	streams := l.deployment.Streams(quotaGreedy * quotaRate)
 	samples := l.load(ctx, r, standin.LoadConfig{Streams: streams, Duration: pauseTime + 6*time.Second, Entries: entries})
-	for range 2 {
-		if err := <-failed; err != nil {
-			return Result{}, err
-		}
+	if err := <-failed; err != nil {
+		return Result{}, err
 	}
 	runs, err := l.runs()
 	if err != nil {
 		return Result{}, err
 	}
-	out := Result{Figures: Figures{Over: num(over(runs, streams, m)), Sent: count(len(samples)), Why: causes(samples)}}
+	out := Result{Figures: Figures{Over: num(over(runs, streams, l.manifest)), Sent: count(len(samples)), Why: causes(samples)}}
 	out.OK = *out.Over == 0
 	return out, nil
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// ID returns the process id.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Kill ends the process at once.
 func (p *Process) Kill() error { return p.signal(syscall.SIGKILL) }
 
