core/route: a broken connection takes its endpoint out until a probe is answered

Ruled out: the ping itself (0.7 s + 0.7 s); gossip's own strikes take 6 s. Change: a break sends two probes and keeps calls away for 2.5 s, or until a probe is answered.

--- a/cmd/bench/experiments.go
+++ b/cmd/bench/experiments.go
@@ -23,6 +23,7 @@
 		{"rollout", "manifests applied, and keys withdrawn on open connections", "spread <= 2, back 0", rollout},
 		{"storeout", "the store away for 30 s under load", "lost 0, wrong <= 0.001, over 0", storeout},
 		{"paused", "an owner of shards stopped past its lease", "over 0", paused},
+		{"silent", "a node whose connections stand and say nothing", "found <= 2", silent},
 		{"roll", "every node replaced under load", "cut 0", roll},
 		{"slopes", "what a node spends on control, over sizes", "none: the figures behind docs/CAPACITY.md", slopes},
 		{"inside", "every workspace within its rate, one slow endpoint", "wrong <= 0.0005", inside},
--- a/cmd/bench/fair.go
+++ b/cmd/bench/fair.go
@@ -93,7 +93,7 @@
 		traces = append(traces, trace{policy: p, samples: samples})
 		out.put(p, Figures{
 			Wrong: num(1 - answered(samples, 0, insideTime, func(*standin.Sample) bool { return true })),
-			Sent:  count(len(samples)), Why: causes(samples), P99: millis(quantile(samples, 0.99, fairSkip, insideTime)),
+			Sent:  count(len(samples)), Why: causes(samples), P99: millis(p99(samples, fairSkip, insideTime)),
 		})
 	}
 	out.OK = *out.Wrong <= maxWrong
--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -261,9 +261,14 @@
 func unanswered(samples []standin.Sample) int {
 	n := 0
 	for _, s := range samples {
-		if s.Status == 0 || s.Crossed || strings.HasPrefix(s.Reason, "attempt-failed") {
+		if failedUnderway(s) {
 			n++
 		}
 	}
 	return n
 }
+
+// failedUnderway reports a call that was neither answered whole nor refused.
+func failedUnderway(s standin.Sample) bool {
+	return s.Status == 0 || s.Crossed || strings.HasPrefix(s.Reason, "attempt-failed")
+}
--- a/cmd/bench/load.go
+++ b/cmd/bench/load.go
@@ -157,8 +157,8 @@
 	return float64(ok) / float64(sent)
 }
 
-// quantile returns a quantile of the latency of answered calls started in a window.
-func quantile(samples []standin.Sample, q float64, from, to time.Duration) time.Duration {
+// p99 returns the latency that 99 in 100 answered calls started in a window keep to.
+func p99(samples []standin.Sample, from, to time.Duration) time.Duration {
 	var all []time.Duration
 	for _, s := range samples {
 		if s.OK() && s.Start >= from && s.Start < to {
@@ -169,7 +169,7 @@
 		return 0
 	}
 	slices.Sort(all)
-	return all[min(len(all)-1, int(q*float64(len(all))))]
+	return all[min(len(all)-1, int(0.99*float64(len(all))))]
 }
 
 func millis(d time.Duration) *float64 { return num(math.Round(d.Seconds()*1e5) / 100) }
--- a/cmd/bench/overload.go
+++ b/cmd/bench/overload.go
@@ -71,7 +71,7 @@
 	}
 	defer l.close()
 	calm := l.drive(ctx, r, calmShare*limit, calmTime)
-	f := Figures{Calm: millis(quantile(calm, 0.99, calmTime/2, calmTime))}
+	f := Figures{Calm: millis(p99(calm, calmTime/2, calmTime))}
 	peak := 0.0
 	if p == celery {
 		peak = l.peak(ctx, r, limit)
@@ -83,7 +83,7 @@
 		return f, nil, err
 	}
 	good := goodput(samples, overloadSkip, overloadTime)
-	f.Good, f.P99 = num(good), millis(quantile(samples, 0.99, overloadSkip, overloadTime))
+	f.Good, f.P99 = num(good), millis(p99(samples, overloadSkip, overloadTime))
 	if p == celery {
 		f.Ratio = num(good / peak)
 	}
--- a/cmd/bench/plot.go
+++ b/cmd/bench/plot.go
@@ -59,7 +59,7 @@
 }
 
 func slowest(samples []standin.Sample, from, to time.Duration) float64 {
-	return quantile(samples, 0.99, from, to).Seconds() * 1000
+	return p99(samples, from, to).Seconds() * 1000
 }
 
 func draw(file, title string, traces []trace, value func([]standin.Sample, time.Duration, time.Duration) float64) error {
--- a/cmd/bench/result.go
+++ b/cmd/bench/result.go
@@ -28,6 +28,7 @@
 	P99      *float64 `json:"p99,omitempty"`
 	Recover  *float64 `json:"recover,omitempty"`
 	Low      *float64 `json:"low,omitempty"`
+	Found    *float64 `json:"found,omitempty"`
 	Worst    *float64 `json:"worst,omitempty"`
 	Wrong    *float64 `json:"wrong,omitempty"`
 	Moving   *float64 `json:"moving,omitempty"`
@@ -77,6 +78,7 @@
 	{"p99", "p99 of answered requests, ms"},
 	{"recover", "time from healing until goodput is back at 0.95 of before, s; -1: not back"},
 	{"low", "least share of the goodput before, in any second of the fault"},
+	{"found", "time until no call fails at a node that has gone silent, s"},
 	{"worst", "the worst-served workspace's share of what it gets alone"},
 	{"wrong", "share of requests within their workspace's rate that were refused, 0 to 1"},
 	{"moving", "the same while demand moves to another domain"},
--- a/cmd/bench/roll.go
+++ b/cmd/bench/roll.go
@@ -130,3 +130,40 @@
 	out.OK = *out.Over == 0
 	return out, nil
 }
+
+const (
+	silentLead  = 4 * time.Second
+	silentTime  = 8 * time.Second
+	maxDetected = 2.0 // seconds
+)
+
+// silent stops a node, so that its connections stand and say nothing, and times
+// how long calls go on failing at it.
+func silent(ctx context.Context, r request) (Result, error) {
+	l, err := plainLab(ctx, r, 0, 0)
+	if err != nil {
+		return Result{}, err
+	}
+	defer l.close()
+	_, service := behaviour(l.deployment, l.deployment.Load[0].Path)
+	name := service + "-1"
+	entries := slices.DeleteFunc(l.plan.Entries(), func(a netip.AddrPort) bool { return a == l.unit(name).Settings.Listen.Caller })
+	failed := between(silentLead, silentTime, l.nodes[name].Freeze, l.nodes[name].Thaw)
+	samples := l.load(ctx, r, standin.LoadConfig{
+		Streams: l.deployment.Streams(quotaSteady * quotaRate), Duration: silentLead + silentTime + 3*time.Second, Entries: entries,
+	})
+	if err := <-failed; err != nil {
+		return Result{}, err
+	}
+	until := silentLead
+	for _, s := range samples {
+		if failedUnderway(s) && s.Start < silentLead+silentTime {
+			until = max(until, s.Start)
+		}
+	}
+	out := Result{Figures: Figures{
+		Found: num((until - silentLead).Seconds()), Lost: count(unanswered(samples)), Sent: count(len(samples)), Why: causes(samples),
+	}}
+	out.OK = *out.Found <= maxDetected
+	return out, nil
+}
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -214,8 +214,11 @@
 	switch cause {
 	case Rejected:
 		c.endpoint.Rejected(now)
-	case Unreachable, Broken:
+	case Unreachable:
 		c.endpoint.Failed(now)
+	case Broken:
+		c.endpoint.Broken(now)
+		s.probe(now, c.endpoint.Name)
 	case Shed, TimedOut:
 		c.endpoint.Answered(now.Sub(c.began))
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -207,13 +207,31 @@
 	return change == member.Joined
 }
 
+// probe asks a peer for as many signs of life as it may miss before it is silent.
+func (s *State) probe(now time.Time, name string) {
+	for range member.SilentStrikes {
+		s.send(name, s.sync(now, 0, 0))
+	}
+}
+
 func (s *State) reach(now time.Time, e *PeerReach) {
 	if e.Reached {
 		s.contact = now
+		s.revive(e.Name)
 	}
 	s.reachable(now, e.Name, e.Reached)
 }
 
+func (s *State) revive(name string) {
+	p, ok := s.peers.Get(name)
+	if !ok {
+		return
+	}
+	if e := s.routes.Find(p.Service, name); e != nil {
+		e.Revive()
+	}
+}
+
 func (s *State) reachable(now time.Time, name string, reached bool) {
 	if !s.peers.Reach(now, name, reached) {
 		return
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -11,8 +11,8 @@
 	ForgetAfter = 10 * time.Minute
 	// hotRounds is how many gossip messages carry a fresh change.
 	hotRounds = 12
-	// silentStrikes failed attempts in a row make a peer silent.
-	silentStrikes = 2
+	// SilentStrikes failed attempts in a row make a peer silent.
+	SilentStrikes = 2
 )
 
 // Change tells how an announcement altered the table.
@@ -77,7 +77,7 @@
 		return was
 	}
 	p.strikes++
-	p.Silent = p.strikes >= silentStrikes
+	p.Silent = p.strikes >= SilentStrikes
 	return p.Silent && !was
 }
 
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -11,6 +11,8 @@
 	// reached gets no new calls.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// brokenPause lasts until two probes have had time to go unanswered.
+	brokenPause = 2500 * time.Millisecond
 	// rejectPause keeps calls away from an endpoint that just refused one.
 	rejectPause = 10 * time.Millisecond
 	// slowStart is how long a new endpoint is given less than its full share.
@@ -80,7 +82,17 @@
 // Canceled ends a call that its caller gave up.
 func (e *Endpoint) Canceled() { e.open-- }
 
-// Failed ends a call whose connection failed and backs off exponentially.
+// Broken ends a call whose connection failed under it. The endpoint gets no more
+// calls until it has been probed.
+func (e *Endpoint) Broken(now time.Time) {
+	e.open--
+	e.until = later(e.until, now.Add(brokenPause))
+}
+
+// Revive lets calls through again after a probe was answered.
+func (e *Endpoint) Revive() { e.failures, e.until = 0, time.Time{} }
+
+// Failed ends a call that found no connection and backs off exponentially.
 func (e *Endpoint) Failed(now time.Time) {
 	e.open--
 	pause := maxBackoff
--- a/internal/standin/baseline.go
+++ b/internal/standin/baseline.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return
 	}
-	res, err := b.send(r.Context(), b.target, b.Target, r, body)
+	res, err := b.send(r.Context(), b.target, b.Target, r, body) //nolint:bodyclose // pass closes it
 	if err != nil {
 		http.Error(w, "failed", http.StatusBadGateway)
 		return
