--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -12,8 +12,8 @@
 const (
 	// maxAnswer and maxAnswers bound the answers kept for repeats, in bytes each
 	// and in number.
-	maxAnswer  = 64 << 10
-	maxAnswers = 4096
+	maxAnswer  = 16 << 10
+	maxAnswers = 2048
 )
 
 // answer is a whole answer kept for repeats of an idempotent call.
