--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -38,9 +38,6 @@
 	since    time.Time
 }
 
-// Open returns the number of calls from here that have not ended.
-func (e *Endpoint) Open() int { return e.open }
-
 // ready reports whether the endpoint may be given a call now.
 func (e *Endpoint) ready(now time.Time) bool {
 	return !e.Draining && !e.Silent && !now.Before(e.until)
--- a/core/state.go
+++ b/core/state.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"celeryshelf/core/admit"
-	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
@@ -157,11 +156,3 @@
 		Version: s.version(),
 	}
 }
-
-// Manifest returns the manifest in force, or nil.
-func (s *State) Manifest() *manifest.Versioned {
-	if s.config == nil {
-		return nil
-	}
-	return &s.config.source
-}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"celeryshelf/core/manifest"
 	"celeryshelf/internal/agent"
 	"celeryshelf/internal/document"
 	"celeryshelf/internal/settings"
@@ -64,12 +65,12 @@
 	return &usageError{text: fmt.Sprintf(format, args...)}
 }
 
-// oneFile returns the command's only argument.
-func oneFile(c *cli.Command) (string, error) {
+// manifestArgument reads and checks the file that is the command's only argument.
+func manifestArgument(c *cli.Command) (*manifest.Manifest, error) {
 	if c.Args().Len() != 1 {
-		return "", usagef("%s: want exactly one FILE", c.Name)
+		return nil, usagef("%s: want exactly one FILE", c.Name)
 	}
-	return c.Args().First(), nil
+	return document.ReadManifest(c.Args().First())
 }
 
 func address(c *cli.Command, flag string) (netip.AddrPort, error) {
@@ -135,16 +136,12 @@
 		Usage:     "check a manifest and list every fault",
 		ArgsUsage: "FILE",
 		Action: func(_ context.Context, c *cli.Command) error {
-			file, err := oneFile(c)
-			if err != nil {
-				return err
-			}
-			m, err := document.ReadManifest(file)
+			m, err := manifestArgument(c)
 			if err != nil {
 				return err
 			}
 			_, err = fmt.Fprintf(out, "%s: ok, %d workspaces, %d services, %d routes\n",
-				file, len(m.Workspaces), len(m.Services), len(m.Routes))
+				c.Args().First(), len(m.Workspaces), len(m.Services), len(m.Routes))
 			return err
 		},
 	}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -52,11 +52,7 @@
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait for confirmations", Value: 8 * time.Second},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			file, err := oneFile(c)
-			if err != nil {
-				return err
-			}
-			m, err := document.ReadManifest(file)
+			m, err := manifestArgument(c)
 			if err != nil {
 				return err
 			}
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -158,15 +158,14 @@
 }
 
 // Watch reports the changes under a prefix from a revision on, until the context
-// ends or the stream breaks. The ready function is called once the watch stands.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, ready func(), report func(Change, int64)) error {
+// ends or the stream breaks.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, report func(Change, int64)) error {
 	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}}
 	res, err := c.post(ctx, "watch", req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	ready()
 	dec := json.NewDecoder(res.Body)
 	for {
 		var out watchResponse
--- a/io/etcd/session.go
+++ b/io/etcd/session.go
@@ -239,7 +239,7 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		defer cancel()
-		err := s.Client.Watch(ctx, s.Layout.Prefix, revision+1, func() {}, func(c Change, at int64) {
+		err := s.Client.Watch(ctx, s.Layout.Prefix, revision+1, func(c Change, at int64) {
 			s.report(c)
 			seen.reach(at)
 		})
