--- a/cmd/bench/lab.go
+++ b/cmd/bench/lab.go
@@ -18,6 +18,7 @@
 	"celeryshelf/internal/standin"
 	"celeryshelf/io/etcd"
 	"celeryshelf/io/operator"
+	"celeryshelf/io/store"
 )
 
 // policy names what runs beside the targets.
@@ -224,7 +225,7 @@
 
 // apply writes a manifest as the next version.
 func (l *lab) apply(ctx context.Context, m manifest.Manifest) error {
-	key := etcd.Layout{Prefix: l.plan.Units[0].Settings.Store.Prefix}.Manifest()
+	key := store.NewLayout(l.plan.Units[0].Settings.Store.Prefix).Manifest
 	version, err := command.Apply(ctx, l.client, key, m, l.version)
 	if err == nil {
 		l.version, l.manifest = version, m
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -55,6 +55,7 @@
 	queue   []Item
 	service time.Duration
 	since   time.Time
+	slots   int // declared by the target, 0 if it has not
 
 	aged      time.Time
 	completed bool // a call was answered well since aged
@@ -80,6 +81,9 @@
 
 // allowed returns the concurrency limit, ramped up after a cold start.
 func (g *Gate) allowed(now time.Time) int {
+	if g.slots > 0 {
+		return g.slots
+	}
 	age := now.Sub(g.since)
 	if age >= coldStart {
 		return int(g.limit)
@@ -95,7 +99,7 @@
 		g.since = now
 	}
 	h := g.get(it.Workspace, it.Weight)
-	h.seen[class(it.Rank)]++
+	h.seen[it.Rank.Class]++
 	if g.Doomed(now, it.Deadline) {
 		return Refused, Item{}
 	}
@@ -154,6 +158,26 @@
 	return Item{}, false
 }
 
+// Evict takes any call out of the queue.
+func (g *Gate) Evict() (Item, bool) {
+	if len(g.queue) == 0 {
+		return Item{}, false
+	}
+	return g.take(len(g.queue) - 1), true
+}
+
+// Declare takes in how many calls the target says it runs at once, 0 for
+// nothing. The adaptive limit then starts from there and never exceeds it.
+func (g *Gate) Declare(slots int) {
+	if slots == g.slots {
+		return
+	}
+	g.slots = slots
+	if slots > 0 {
+		g.limit = float64(slots)
+	}
+}
+
 // Remove takes a call out of the queue and reports whether it was there.
 func (g *Gate) Remove(call uint64) bool {
 	for i := range g.queue {
@@ -254,8 +278,8 @@
 // before orders waiting calls: important first, then work that was already
 // started upstream, then the workspace with the least weighted service, then rank.
 func (g *Gate) before(a Item, ha *share, b Item, hb *share) bool {
-	if a.Rank.Important != b.Rank.Important {
-		return a.Rank.Important
+	if a.Rank.Class != b.Rank.Class {
+		return a.Rank.Class > b.Rank.Class
 	}
 	if started := a.Rank.Depth > 0; started != (b.Rank.Depth > 0) {
 		return started
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -2,10 +2,11 @@
 
 import "cmp"
 
-// Hash buckets and the bounds of a Level.
+// Hash buckets, classes of importance and the bounds of a Level.
 const (
 	HashBuckets       = 1024
-	MaxLevel    Level = 2 * HashBuckets
+	Classes           = 16
+	MaxLevel    Level = Classes * HashBuckets
 )
 
 // Level is an admission threshold: a call passes when its score reaches it.
@@ -15,18 +16,14 @@
 // Rank orders calls under overload and is the same for a root call at every hop,
 // but for the depth.
 type Rank struct {
-	Important bool
-	Depth     uint8
-	Hash      uint16 // below HashBuckets, drawn from the root call
+	Class uint8 // below Classes; calls of a higher class are shed later
+	Depth uint8
+	Hash  uint16 // below HashBuckets, drawn from the root call
 }
 
 // Score places the rank on the scale of Level; depth plays no part.
 func (r Rank) Score() Level {
-	s := Level(r.Hash % HashBuckets)
-	if r.Important {
-		s += HashBuckets
-	}
-	return s
+	return Level(min(r.Class, Classes-1))*HashBuckets + Level(r.Hash%HashBuckets)
 }
 
 // Child returns the rank of a call made on behalf of one with rank r.
@@ -37,7 +34,7 @@
 	return r
 }
 
-// compare orders by depth, then by hash, for calls of equal importance.
+// compare orders by depth, then by hash, for calls of one class.
 func (r Rank) compare(o Rank) int {
 	return cmp.Or(cmp.Compare(r.Depth, o.Depth), cmp.Compare(r.Hash, o.Hash))
 }
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -22,11 +22,11 @@
 )
 
 // share holds what one workspace asked for in the open window and the fractions
-// of its normal and important calls that entry nodes should keep.
+// of its calls of each class that entry nodes should keep.
 type share struct {
 	weight    float64
-	seen      [2]float64 // calls in the open window: normal, important
-	fraction  [2]float64
+	seen      [Classes]float64 // calls in the open window
+	fraction  [Classes]float64
 	level     Level
 	pass      float64 // virtual time of weighted fair queueing
 	idle      int
@@ -34,18 +34,6 @@
 	workspace string
 }
 
-const (
-	normal = iota
-	important
-)
-
-func class(r Rank) int {
-	if r.Important {
-		return important
-	}
-	return normal
-}
-
 // shares divides the target's capacity among workspaces by weight.
 type shares struct {
 	list     []*share
@@ -62,7 +50,10 @@
 func (s *shares) get(workspace string, weight float64) *share {
 	h, ok := s.byName[workspace]
 	if !ok {
-		h = &share{workspace: workspace, fraction: [2]float64{1, 1}}
+		h = &share{workspace: workspace}
+		for c := range h.fraction {
+			h.fraction[c] = 1
+		}
 		s.byName[workspace] = h
 		s.list = append(s.list, h)
 	}
@@ -85,8 +76,9 @@
 	}
 	capacity := max(s.done, rate*age.Seconds())
 	if saturated && capacity > 0 {
-		left := s.tighten(important, capacity)
-		s.tighten(normal, left)
+		for c := Classes - 1; c >= 0; c-- {
+			capacity = s.tighten(c, capacity)
+		}
 	} else if !saturated {
 		s.relax(use)
 	}
@@ -147,11 +139,11 @@
 	kept := s.list[:0]
 	for _, h := range s.list {
 		h.level = levelOf(h.fraction)
-		if h.seen[normal]+h.seen[important] > 0 || h.queued > 0 {
+		if h.seen != [Classes]float64{} || h.queued > 0 {
 			h.idle = 0
 		}
 		h.idle++
-		h.seen = [2]float64{}
+		h.seen = [Classes]float64{}
 		if h.idle > idleWindows {
 			delete(s.byName, h.workspace)
 			continue
@@ -163,11 +155,13 @@
 	s.opened, s.done, s.rejected, s.drained = now, 0, false, false
 }
 
-// levelOf maps the kept fractions onto the one scale: important calls are cut
-// only when no normal call is kept.
-func levelOf(fraction [2]float64) Level {
-	if fraction[important] < 1 {
-		return HashBuckets + Level((1-fraction[important])*HashBuckets)
+// levelOf maps the kept fractions onto the one scale: calls of a class are cut
+// only when none of a lower class is kept.
+func levelOf(fraction [Classes]float64) Level {
+	for c := Classes - 1; c > 0; c-- {
+		if fraction[c] < 1 {
+			return Level(c*HashBuckets) + Level((1-fraction[c])*HashBuckets)
+		}
 	}
-	return Level((1 - fraction[normal]) * HashBuckets)
+	return Level((1 - fraction[0]) * HashBuckets)
 }
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -47,8 +47,8 @@
 func (s *State) forward(now time.Time, c *call) {
 	c.phase = forwarding
 	c.lent = c.budget.Lend()
-	s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
-		Call: c.id, Action: Forward, Endpoint: c.endpoint.Name, Address: c.endpoint.Node,
+	s.decide(now, c, Verdict{
+		Action: Forward, Endpoint: c.endpoint.Name, Address: c.endpoint.Node,
 		Deadline: c.deadline,
 		Pass: Pass{
 			Target: c.endpoint.Name, Workspace: c.workspace, Route: c.route, Rank: c.rank,
@@ -90,8 +90,8 @@
 
 func (s *State) run(now time.Time, c *call) {
 	c.phase, c.began = running, now
-	s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
-		Call: c.id, Action: Run, Endpoint: s.self.Name, Deadline: c.deadline,
+	s.decide(now, c, Verdict{
+		Action: Run, Endpoint: s.self.Name, Deadline: c.deadline,
 		Pass: Pass{Workspace: c.workspace, Route: c.route, Rank: c.rank, Once: c.once, Repeat: c.identity.Key},
 	})
 }
@@ -132,7 +132,7 @@
 	}
 	if cause == Shed {
 		c.phase = judged
-		s.effects.Verdicts = append(s.effects.Verdicts, Verdict{Call: c.id, Action: Deliver})
+		s.decide(now, c, Verdict{Action: Deliver})
 		return
 	}
 	s.refuse(now, c, why)
@@ -163,6 +163,8 @@
 		return false
 	case c.once && c.ran != RanNo:
 		return false
+	case c.allowed > 0 && c.arrived >= c.allowed:
+		return false
 	case cause == TimedOut, why == Duplicate, !now.Before(c.deadline):
 		return false
 	default:
@@ -182,6 +184,9 @@
 	}
 	c.level = max(c.level, e.Level)
 	c.ran = max(c.ran, e.Ran)
+	if e.Ran != RanNo || e.Cause == Shed {
+		c.arrived++
+	}
 	local := c.phase == running
 	if local {
 		s.gate.Done(s.completion(now, c, e.Cause == Shed, false))
@@ -235,7 +240,7 @@
 
 // learn remembers the level reported below a call that entered the graph here.
 func (s *State) learn(now time.Time, c *call) {
-	if c.origin == FromCaller {
+	if c.origin == FromCaller || c.origin == FromEither {
 		s.levels.Learn(now, c.route, c.workspace, c.level)
 	}
 }
@@ -261,8 +266,8 @@
 	}
 	s.learn(now, c)
 	if c.settles {
-		s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
-			Call: c.id, Action: Settle, Level: c.level, Unspent: c.budget.Left(),
+		s.decide(now, c, Verdict{
+			Action: Settle, Level: c.level, Unspent: c.budget.Left(),
 		})
 	}
 	s.end(now, c, e.Whole && !e.Failed)
--- a/core/call.go
+++ b/core/call.go
@@ -46,7 +46,9 @@
 	repeat    bool // the request can be sent again
 
 	endpoint *route.Endpoint
-	attempts int
+	attempts int // made, those turned away by other nodes included
+	arrived  int // that may have reached a target
+	allowed  int // that may reach a target, 0 for any number
 	lent     int // budget passed to the node it was forwarded to
 	began    time.Time
 	ran      Ran
@@ -79,7 +81,7 @@
 func (s *State) end(now time.Time, c *call, ok bool) {
 	delete(s.calls, c.id)
 	s.free = append(s.free, c)
-	if c.origin == FromCaller {
+	if c.origin == FromCaller || c.origin == FromEither {
 		s.ratio.Return(c.budget)
 	}
 	if c.parent == 0 {
@@ -116,7 +118,7 @@
 	c := s.newCall(e.Call)
 	c.origin, c.repeat, c.request = e.Origin, e.Replayable, e.Request
 	switch e.Origin {
-	case FromCaller:
+	case FromCaller, FromEither:
 		s.arriveCaller(now, c, e)
 	case FromTarget:
 		s.arriveTarget(now, c, e)
@@ -140,11 +142,31 @@
 	if e.Timeout > 0 {
 		timeout = min(timeout, e.Timeout)
 	}
-	c.route, c.service, c.once = r.Name, r.Service, r.Once
+	c.route, c.service, c.once = r.Name, s.part(r, e.Call), r.Once
+	c.allowed = r.Attempts
 	c.deadline = now.Add(timeout)
 	return r
 }
 
+// part draws the service that a call of a split route goes to.
+func (s *State) part(r *manifest.Route, id CallID) string {
+	parts := r.Services()
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	draw := float64(mix(uint64(id))>>11) / (1 << 53) * total
+	for _, p := range parts {
+		if draw -= p.Weight; draw < 0 {
+			return p.Service
+		}
+	}
+	return parts[0].Service
+}
+
 func (s *State) arriveCaller(now time.Time, c *call, e *Arrive) {
 	r := s.resolve(now, c, e)
 	if r == nil {
@@ -153,8 +175,8 @@
 	if !s.authorize(now, c, e, r) {
 		return
 	}
-	c.rank = admit.Rank{Important: r.Important, Hash: s.rankHash(e.Seed)}
-	if e.Origin == FromCaller {
+	c.rank = admit.Rank{Class: s.config.class(c.workspace, r), Hash: s.rankHash(e.Seed)}
+	if e.Origin != FromTarget {
 		c.budget = s.ratio.Draw(now, s.config.source.Manifest.Retries)
 	}
 	s.identify(c, e.Repeat)
@@ -272,7 +294,7 @@
 	switch {
 	case p.Target != s.self.Name:
 		s.refuse(now, c, WrongTarget)
-	case s.self.Draining:
+	case s.self.Draining, s.self.Closed:
 		s.refuse(now, c, Draining)
 	default:
 		c.endpoint = s.routes.Find(s.self.Service, s.self.Name)
@@ -281,10 +303,21 @@
 	}
 }
 
+// decide hands out the verdict on a call, with what it was decided from.
+func (s *State) decide(now time.Time, c *call, v Verdict) {
+	v.Call = c.id
+	stats := s.gate.Stats()
+	v.Why = Why{
+		Version: s.version(), Confirmed: now.Sub(s.asOf), Left: c.deadline.Sub(now),
+		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued,
+	}
+	s.effects.Verdicts = append(s.effects.Verdicts, v)
+}
+
 // refuse ends a call that is not to run, or not again.
 func (s *State) refuse(now time.Time, c *call, why Reason) {
-	s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
-		Call: c.id, Action: Refuse, Reason: why, Ran: c.ran,
+	s.decide(now, c, Verdict{
+		Action: Refuse, Reason: why, Ran: c.ran,
 		Retry: retryAfter(why), Level: s.reported(c), Unspent: c.budget.Left(),
 	})
 	s.end(now, c, false)
--- a/core/config.go
+++ b/core/config.go
@@ -1,10 +1,14 @@
 package core
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"celeryshelf/core/admit"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/quota"
 )
@@ -17,6 +21,51 @@
 	routes     map[string]*manifest.Route
 	meanRate   float64 // weight of calls without a workspace
 	salt       uint64  // alike at all nodes, and not for callers to know
+	classes    map[urgency]uint8
+}
+
+// urgency orders calls by the workspace's priority, then by the route's.
+type urgency struct {
+	workspace, route int // 0 the highest
+}
+
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.workspace, o.workspace), cmp.Compare(u.route, o.route))
+}
+
+func urgencyOf(w *manifest.Workspace, r *manifest.Route) urgency {
+	u := urgency{route: 1}
+	switch {
+	case r.Priority != nil:
+		u.route = *r.Priority
+	case r.Important:
+		u.route = 0
+	}
+	if w != nil && w.Priority != nil {
+		u.workspace = *w.Priority
+	}
+	return u
+}
+
+// rank numbers the urgencies that the manifest gives rise to, the lowest first.
+func (c *config) rank() {
+	c.classes = map[urgency]uint8{{route: 0}: 0, {route: 1}: 0}
+	m := &c.source.Manifest
+	for i := range m.Routes {
+		c.classes[urgencyOf(nil, &m.Routes[i])] = 0
+		for j := range m.Workspaces {
+			c.classes[urgencyOf(&m.Workspaces[j], &m.Routes[i])] = 0
+		}
+	}
+	order := slices.SortedFunc(maps.Keys(c.classes), func(a, b urgency) int { return b.compare(a) })
+	for i, u := range order {
+		c.classes[u] = uint8(i * min(admit.Classes, len(order)) / len(order))
+	}
+}
+
+// class returns the class of a workspace's calls on a route.
+func (c *config) class(workspace string, r *manifest.Route) uint8 {
+	return c.classes[urgencyOf(c.workspaces[workspace], r)]
 }
 
 func newConfig(v manifest.Versioned) *config {
@@ -44,6 +93,7 @@
 	for i := range m.Routes {
 		c.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
+	c.rank()
 	return c
 }
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -92,6 +92,17 @@
 	Level    admit.Level
 	Unspent  int
 	Of       CallID
+	Why      Why
+}
+
+// Why holds what a verdict was decided from, for the log.
+type Why struct {
+	Version   uint64        // manifest in force
+	Confirmed time.Duration // age of the proof that it was the newest
+	Left      time.Duration // until the call's deadline
+	Attempt   int
+	Running   int // calls at the local target
+	Queued    int // calls that wait for it
 }
 
 // Request is an operation on the store.
@@ -113,6 +124,10 @@
 	Shard quota.Shard
 }
 
+// Verify asks for the store's newest manifest.
+type Verify struct{}
+
+func (*Verify) request()   {}
 func (*Announce) request() {}
 func (*Claim) request()    {}
 func (*Release) request()  {}
@@ -136,6 +151,8 @@
 	OwnerClockBehind
 	OwnClockBehind
 	ManifestRefused
+	TargetOpened
+	TargetClosed
 )
 
 // Notice is something operators want in the log.
--- a/core/event.go
+++ b/core/event.go
@@ -20,6 +20,7 @@
 	FromCaller Origin = iota // an outside caller with a key
 	FromTarget               // the local target, for a call it is running
 	FromNode                 // a node that has already let the call in
+	FromEither               // a caller, or the local target without naming the running call
 )
 
 // Event is something that happened at or around the node.
@@ -51,6 +52,7 @@
 	Repeat     uint64          // digest of the Idempotency-Key, 0 if none
 	Timeout    time.Duration   // time the sender allows, 0 if it did not say
 	Replayable bool            // the request can be sent again
+	ID         string          // the sender's name for the request, for logs
 	Pass       Pass            // FromNode: what the sending node passed on
 }
 
@@ -128,6 +130,22 @@
 	Manifest manifest.Versioned
 }
 
+// Confirmed says that the store's newest manifest at an instant had that version.
+type Confirmed struct {
+	Version uint64
+	At      time.Time // before the store was asked
+}
+
+// TargetSeen is a heartbeat of the local target.
+type TargetSeen struct {
+	Heartbeat Heartbeat
+}
+
+// TargetGone says that the local target has ended its registration.
+type TargetGone struct {
+	ID string
+}
+
 // MemberSeen says that the store holds an announcement.
 type MemberSeen struct {
 	Member member.Member
@@ -177,6 +195,9 @@
 func (*StoreUp) event()      {}
 func (*Snapshot) event()     {}
 func (*ManifestSeen) event() {}
+func (*Confirmed) event()    {}
+func (*TargetSeen) event()   {}
+func (*TargetGone) event()   {}
 func (*MemberSeen) event()   {}
 func (*MemberGone) event()   {}
 func (*ShardSeen) event()    {}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -18,10 +18,7 @@
 	joinRotate = 64
 	// probeSilent is how often, one round in so many, a silent peer is tried.
 	probeSilent = 4
-	// isolatedAfter without the store and without any peer, a node no longer
-	// trusts the keys it knows.
-	isolatedAfter = 3 * time.Second
-	sweepEvery    = 1 * time.Second
+	sweepEvery  = 1 * time.Second
 )
 
 func (s *State) tick(now time.Time) {
@@ -36,6 +33,7 @@
 	s.pump(now)
 	s.overdueRecords(now)
 	s.tickQuota(now)
+	s.verify(now)
 	if !now.Before(s.due.sync) {
 		s.due.sync = now.Add(s.jitter(tickSync))
 		s.gossip(now)
@@ -76,12 +74,6 @@
 	return d*4/5 + time.Duration(s.next()%span)
 }
 
-// isolated reports whether neither the store nor any peer has been heard of for
-// so long that a withdrawn key may not be known here.
-func (s *State) isolated(now time.Time) bool {
-	return !s.store && len(s.peers.All()) > 0 && now.Sub(s.contact) > isolatedAfter
-}
-
 func (s *State) send(to string, m Message) {
 	p, ok := s.peers.Get(to)
 	if !ok {
@@ -139,7 +131,6 @@
 
 // receive takes in a message of a peer.
 func (s *State) receive(now time.Time, e *Received) {
-	s.contact = now
 	switch m := e.Body.(type) {
 	case *Sync:
 		s.synced(now, m)
@@ -149,6 +140,8 @@
 		}
 	case *Config:
 		s.adopt(now, m.Manifest)
+	case *Proof:
+		s.proved(m)
 	case *TokenAsk:
 		grant := s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens)
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
@@ -173,6 +166,7 @@
 	joined := s.hear(now, m.Self)
 	s.reachable(now, m.Self.Name, true)
 	s.compare(now, m.Self.Name, m.Clock)
+	s.prove(now, m)
 	for _, o := range m.Members {
 		s.hear(now, o)
 	}
@@ -216,7 +210,6 @@
 
 func (s *State) reach(now time.Time, e *PeerReach) {
 	if e.Reached {
-		s.contact = now
 		s.revive(e.Name)
 	}
 	s.reachable(now, e.Name, e.Reached)
--- a/core/identity.go
+++ b/core/identity.go
@@ -25,8 +25,8 @@
 	switch standing {
 	case retry.Answered:
 		c.endpoint.Canceled()
-		s.effects.Verdicts = append(s.effects.Verdicts, Verdict{
-			Call: c.id, Action: Replay, Of: CallID(of), Unspent: c.budget.Left(),
+		s.decide(now, c, Verdict{
+			Action: Replay, Of: CallID(of), Unspent: c.budget.Left(),
 		})
 		s.end(now, c, true)
 		return false
--- a/core/manifest/check.go
+++ b/core/manifest/check.go
@@ -62,10 +62,10 @@
 	for i, w := range list {
 		at := fmt.Sprintf("/workspaces/%d", i)
 		c.unique(names, at+"/name", w.Name)
-		if w.Rate <= 0 {
-			c.addf(at+"/rate", "must be greater than 0")
+		if w.Rate < 0 {
+			c.addf(at+"/rate", "must not be less than 0")
 		}
-		if float64(w.Burst) < max(1, w.Rate*MinBurstWindow.Seconds()) {
+		if w.Rate > 0 && float64(w.Burst) < max(1, w.Rate*MinBurstWindow.Seconds()) {
 			c.addf(at+"/burst", "must be at least 1 and cover the rate for %s", MinBurstWindow)
 		}
 		keys := map[string]bool{}
@@ -96,22 +96,46 @@
 	for i, r := range list {
 		at := fmt.Sprintf("/routes/%d", i)
 		c.unique(names, at+"/name", r.Name)
-		if !slices.Contains(methods, r.Method) {
+		if r.Method != "" && !slices.Contains(methods, r.Method) {
 			c.addf(at+"/method", "must be one of %s", strings.Join(methods, ", "))
 		}
 		if !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, " {}?#") {
 			c.addf(at+"/path", "must start with / and hold no space or any of {}?#")
 		}
-		pattern := r.Method + " " + r.Path
+		pattern := strings.TrimSpace(r.Method + " " + strings.ToLower(r.Host) + r.Path)
 		if patterns[pattern] {
 			c.addf(at+"/path", "duplicate route for %s", pattern)
 		}
 		patterns[pattern] = true
+		c.parts(at, &r, services)
+		if r.Timeout.Duration <= 0 || r.Timeout.Duration > MaxTimeout {
+			c.addf(at+"/timeout", "must be greater than 0 and at most %s", MaxTimeout)
+		}
+	}
+}
+
+// parts checks the services that a route's calls go to.
+func (c *checker) parts(at string, r *Route, services map[string]bool) {
+	if len(r.Split) == 0 {
 		if !services[r.Service] {
 			c.addf(at+"/service", "no service named %q", r.Service)
 		}
-		if r.Timeout.Duration <= 0 || r.Timeout.Duration > MaxTimeout {
-			c.addf(at+"/timeout", "must be greater than 0 and at most %s", MaxTimeout)
+		return
+	}
+	if r.Service != "" {
+		c.addf(at+"/service", "must be absent beside split")
+	}
+	sum := 0.0
+	for i, p := range r.Split {
+		if !services[p.Service] {
+			c.addf(fmt.Sprintf("%s/split/%d/service", at, i), "no service named %q", p.Service)
+		}
+		if p.Weight < 0 {
+			c.addf(fmt.Sprintf("%s/split/%d/weight", at, i), "must not be less than 0")
 		}
+		sum += p.Weight
+	}
+	if sum <= 0 {
+		c.addf(at+"/split", "the weights must add up to more than 0")
 	}
 }
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -13,14 +13,25 @@
 	Workspaces []Workspace `json:"workspaces"`
 	Services   []Service   `json:"services"`
 	Routes     []Route     `json:"routes"`
+	Limits     Limits      `json:"limits,omitzero"`
+}
+
+// Limits bound what a caller may send. A field that is 0 leaves the default in place.
+type Limits struct {
+	Header        int      `json:"header,omitempty"` // bytes
+	Body          int64    `json:"body,omitempty"`   // bytes
+	HeaderTimeout Duration `json:"headertimeout,omitzero"`
+	IdleTimeout   Duration `json:"idletimeout,omitzero"`
 }
 
 // Workspace is one tenant with its keys and its fleet-wide allowance.
 type Workspace struct {
 	Name  string  `json:"name"`
-	Rate  float64 `json:"rate"`  // calls a second
+	Rate  float64 `json:"rate"`  // calls a second, 0 for no limit
 	Burst int     `json:"burst"` // calls
 	Keys  []Key   `json:"keys"`
+	// Priority, 0 the highest, outweighs that of the route, if it is declared.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Key names one credential of a workspace and holds its digest, never the secret.
@@ -34,16 +45,35 @@
 	Name string `json:"name"`
 }
 
-// Route maps requests of one method and path onto a service.
+// Route maps requests of one host, method and path onto a service.
 type Route struct {
 	Name      string   `json:"name"`
-	Method    string   `json:"method"`
-	Path      string   `json:"path"`
-	Service   string   `json:"service"`
+	Host      string   `json:"host,omitempty"`   // empty for any
+	Method    string   `json:"method,omitempty"` // empty for any
+	Path      string   `json:"path"`             // exact, or a prefix if it ends in /
+	Service   string   `json:"service,omitempty"`
+	Split     []Part   `json:"split,omitempty"` // instead of Service
 	Important bool     `json:"important,omitempty"`
+	Priority  *int     `json:"priority,omitempty"` // 0 the highest; instead of Important
 	Open      bool     `json:"open,omitempty"`
 	Once      bool     `json:"once,omitempty"`
 	Timeout   Duration `json:"timeout"`
+	Target    Duration `json:"target,omitzero"`    // latency objective, 0 if there is none
+	Attempts  int      `json:"attempts,omitempty"` // endpoints one call may be sent to, 0 for the default
+}
+
+// Part is one service's share of a route's calls.
+type Part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"` // relative to the route's other parts
+}
+
+// Services returns the services that a route's calls may go to.
+func (r *Route) Services() []Part {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Part{{Service: r.Service, Weight: 1}}
 }
 
 // Versioned is a manifest together with its place in the order of configurations.
--- /dev/null
+++ b/core/manifest/match.go
@@ -0,0 +1,63 @@
+package manifest
+
+import "strings"
+
+// pattern is what a route matches; an empty host or method matches any.
+type pattern struct {
+	host, method, path string
+}
+
+// Matcher finds the route that a request takes.
+type Matcher struct {
+	routes map[pattern]*Route
+}
+
+// NewMatcher indexes the routes of a manifest, which must not change afterwards.
+func NewMatcher(routes []Route) *Matcher {
+	m := &Matcher{routes: make(map[pattern]*Route, len(routes))}
+	for i := range routes {
+		r := &routes[i]
+		m.routes[pattern{strings.ToLower(r.Host), r.Method, r.Path}] = r
+	}
+	return m
+}
+
+// Match returns the route with the longest path that the request's path begins
+// with, or nil. A route of the request's host goes before one of any host.
+func (m *Matcher) Match(method, host, path string) *Route {
+	host = hostName(host)
+	if r := m.lookup(method, host, path); r != nil {
+		return r
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := m.lookup(method, host, path[:end+1]); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func (m *Matcher) lookup(method, host, path string) *Route {
+	if r := m.hosted(method, host, path); r != nil || host == "" {
+		return r
+	}
+	return m.hosted(method, "", path)
+}
+
+func (m *Matcher) hosted(method, host, path string) *Route {
+	if r, ok := m.routes[pattern{host, method, path}]; ok {
+		return r
+	}
+	if r, ok := m.routes[pattern{host, "", path}]; ok || method != "HEAD" {
+		return r
+	}
+	return m.routes[pattern{host, "GET", path}]
+}
+
+// hostName returns a Host header in lower case and without its port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -12,12 +12,15 @@
 	Service     string         `json:"service"`
 	Domain      string         `json:"domain"`
 	Region      string         `json:"region,omitempty"`
-	Node        netip.AddrPort `json:"node"`    // calls over HTTP/2
-	Control     netip.AddrPort `json:"control"` // messages over jsonrpc2
-	Incarnation uint64         `json:"inc"`     // rises with each start of the process
-	Revision    uint64         `json:"rev"`     // rises with each change of the announcement
-	Version     uint64         `json:"version"` // manifest in force
-	Draining    bool           `json:"drain,omitempty"`
+	Node        netip.AddrPort `json:"node"`             // calls over HTTP/2
+	Control     netip.AddrPort `json:"control"`          // messages over jsonrpc2
+	Incarnation uint64         `json:"inc"`              // rises with each start of the process
+	Revision    uint64         `json:"rev"`              // rises with each change of the announcement
+	Version     uint64         `json:"version"`          // manifest in force
+	Draining    bool           `json:"drain,omitempty"`  // the node is leaving
+	Closed      bool           `json:"closed,omitempty"` // the target takes no work
+	Slots       int            `json:"slots,omitempty"`  // calls the target runs at once, 0 if it did not say
+	Began       int64          `json:"began,omitempty"`  // start of the target, in milliseconds since 1970
 }
 
 // newer reports whether m supersedes o.
@@ -35,5 +38,5 @@
 	hot     int // gossip rounds that still carry it
 }
 
-// Live reports whether the peer may be given new work.
+// Live reports whether the peer's node takes part in the fleet.
 func (p *Peer) Live() bool { return !p.Draining && !p.Silent }
--- a/core/message.go
+++ b/core/message.go
@@ -20,6 +20,14 @@
 	Members []member.Member `json:"members,omitempty"`
 }
 
+// Proof answers a Sync with how old the sender's knowledge of the newest manifest
+// is. It counts from the Sync, so that a proof read late proves no more than it did.
+type Proof struct {
+	Clock   time.Duration `json:"clock"` // as in the Sync
+	Version uint64        `json:"version"`
+	Age     time.Duration `json:"age"`
+}
+
 // Fetch asks for the manifest in force.
 type Fetch struct{}
 
@@ -71,6 +79,7 @@
 }
 
 func (*Sync) message()       {}
+func (*Proof) message()      {}
 func (*Fetch) message()      {}
 func (*Config) message()     {}
 func (*TokenAsk) message()   {}
--- /dev/null
+++ b/core/proof.go
@@ -0,0 +1,49 @@
+package core
+
+import "time"
+
+// defaultRevoke is how long keys are trusted that nobody can confirm, where no
+// setting says otherwise.
+const defaultRevoke = 3 * time.Second
+
+// verifyAfter is the age from which knowledge of the newest manifest is refreshed
+// by a call to the store. Nodes that hear of a younger proof from a peer in time
+// need no call of their own.
+const verifyAfter = 1 * time.Second
+
+// verify asks the store when no peer has confirmed the manifest lately.
+func (s *State) verify(now time.Time) {
+	if now.Sub(s.asOf) < verifyAfter || now.Before(s.due.verify) {
+		return
+	}
+	s.due.verify = now.Add(s.jitter(verifyAfter))
+	s.effects.Requests = append(s.effects.Requests, &Verify{})
+}
+
+// confirm takes in that a version was the newest at an instant. A node with that
+// version, or a newer one, was up to date then.
+func (s *State) confirm(version uint64, at time.Time) {
+	if s.version() >= version && at.After(s.asOf) {
+		s.asOf = at
+	}
+}
+
+// prove answers a Sync with what this node knows.
+func (s *State) prove(now time.Time, m *Sync) {
+	s.send(m.Self.Name, &Proof{Clock: m.Clock, Version: s.version(), Age: now.Sub(s.asOf)})
+}
+
+// proved takes in the answer to a Sync that this node sent when its own clock
+// showed the reading that comes back.
+func (s *State) proved(m *Proof) {
+	s.confirm(m.Version, s.started.Add(m.Clock-m.Age))
+}
+
+// isolated reports whether the keys in force are so old that one of them may have
+// been withdrawn for too long.
+func (s *State) isolated(now time.Time) bool {
+	if s.revoke > 0 {
+		return now.Sub(s.asOf) > s.revoke
+	}
+	return !s.store && len(s.peers.All()) > 0 && now.Sub(s.asOf) > defaultRevoke
+}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -28,8 +28,10 @@
 	Domain   string
 	Node     netip.AddrPort
 	Local    bool // the target beside this node
-	Draining bool
+	Draining bool // the node or the target is leaving, or the target is not there
 	Silent   bool
+	Slots    int   // calls the target runs at once, 0 if unknown
+	Began    int64 // start of the target; a new one starts slowly
 
 	open     int // calls from here that have not ended
 	latency  time.Duration
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -42,7 +42,9 @@
 		}
 		known.Node, known.Domain = e.Node, e.Domain
 		known.Draining, known.Silent = e.Draining, e.Silent
-		if replaced {
+		known.Slots = e.Slots
+		if replaced || known.Began != e.Began {
+			known.Began = e.Began
 			known.latency, known.failures = 0, 0
 			known.since, known.until = now, time.Time{}
 		}
--- a/core/state.go
+++ b/core/state.go
@@ -16,6 +16,12 @@
 	Self  member.Member
 	Seeds []netip.AddrPort // control addresses of nodes to join through
 	Seed  uint64           // starts the pseudo-random choice of gossip partners
+	// Heartbeats says that the local target announces itself. Until it has, it is
+	// given no work.
+	Heartbeats bool
+	// Revoke is how long the keys of a manifest that cannot be confirmed are
+	// trusted, 0 for the default. With it a lone node is no exception.
+	Revoke time.Duration
 }
 
 // State is everything that one node decides from.
@@ -35,10 +41,13 @@
 	ledger  *retry.Ledger
 	records []*call // calls that wait for a Recorded
 
-	peers   member.Table
-	clocks  map[string]clock
-	contact time.Time // last sign of the store or of a peer
-	store   bool
+	peers  member.Table
+	clocks map[string]clock
+	store  bool
+
+	asOf   time.Time // the manifest in force was the newest at this instant
+	revoke time.Duration
+	target targetState
 
 	owner  *quota.Owner
 	holder *quota.Holder
@@ -46,7 +55,7 @@
 	claims map[quota.Shard]time.Time
 
 	due struct {
-		sync, claim, sweep time.Time
+		sync, claim, sweep, verify time.Time
 	}
 
 	effects  Effects
@@ -70,6 +79,8 @@
 		holder: quota.NewHolder(),
 		shards: map[quota.Shard]string{},
 		claims: map[quota.Shard]time.Time{},
+		revoke: set.Revoke,
+		target: targetState{announced: set.Heartbeats},
 	}
 }
 
@@ -96,14 +107,19 @@
 		s.reach(now, e)
 	case *Drain:
 		s.drain(now)
+	case *TargetSeen:
+		s.targetSeen(now, e.Heartbeat)
+	case *TargetGone:
+		s.targetGone(now, e.ID)
 	default:
-		s.platform(now, e)
+		s.fromStore(now, e)
 	}
 	return &s.effects
 }
 
 func (s *State) start(now time.Time) {
-	s.started, s.contact = now, now
+	s.started, s.asOf = now, now
+	s.self.Closed = s.target.announced
 	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimDelay), now
 	s.routes.Put(now, s.endpoint(s.self, false), false)
 }
@@ -112,7 +128,8 @@
 func (s *State) endpoint(m member.Member, silent bool) route.Endpoint {
 	return route.Endpoint{
 		Name: m.Name, Service: m.Service, Domain: m.Domain, Node: m.Node,
-		Local: m.Name == s.self.Name, Draining: m.Draining, Silent: silent,
+		Local: m.Name == s.self.Name, Draining: m.Draining || m.Closed, Silent: silent,
+		Slots: m.Slots, Began: m.Began,
 	}
 }
 
@@ -144,6 +161,11 @@
 	Version uint64
 }
 
+// Ready reports whether the node can let calls in.
+func (s *State) Ready(now time.Time) bool {
+	return s.config != nil && !s.self.Draining && !s.isolated(now)
+}
+
 // View returns a snapshot of the node.
 func (s *State) View() View {
 	return View{
--- a/core/platform.go
+++ b/core/store.go
@@ -20,8 +20,8 @@
 	claimStagger = 1 * time.Second
 )
 
-// platform takes in what the store says.
-func (s *State) platform(now time.Time, e Event) {
+// fromStore takes in what the store says.
+func (s *State) fromStore(now time.Time, e Event) {
 	switch e := e.(type) {
 	case *LeaseHeld:
 		s.owner.Renew(e.Until)
@@ -33,6 +33,8 @@
 		s.snapshot(now, e)
 	case *ManifestSeen:
 		s.adopt(now, e.Manifest)
+	case *Confirmed:
+		s.confirm(e.Version, e.At)
 	case *MemberSeen:
 		s.hear(now, e.Member)
 	case *MemberGone:
@@ -55,7 +57,9 @@
 		s.notice(Notice{Kind: kind})
 	}
 	s.store = up
-	s.contact = now
+	if up {
+		s.asOf = now
+	}
 }
 
 func (s *State) leaseLost() {
--- a/core/text.go
+++ b/core/text.go
@@ -51,12 +51,13 @@
 	StoreBack: "store-back", DrainStarted: "drain-started", OwnerClockBehind: "owner-clock-behind",
 	OwnClockBehind:  "own-clock-behind",
 	ManifestRefused: "manifest-refused",
+	TargetOpened:    "target-opened", TargetClosed: "target-closed",
 }
 
 // String returns the notice's name in logs.
 func (k NoticeKind) String() string { return noticeNames[k] }
 
-var originNames = [...]string{FromCaller: "caller", FromTarget: "target", FromNode: "node"}
+var originNames = [...]string{FromCaller: "caller", FromTarget: "target", FromNode: "node", FromEither: "either"}
 
 // String returns the origin's name in logs and metrics.
 func (o Origin) String() string { return originNames[o] }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,112 +2,139 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"celeryshelf/core"
 	"celeryshelf/core/member"
+	"celeryshelf/internal/clock"
 	"celeryshelf/internal/control"
 	"celeryshelf/internal/relay"
-	"celeryshelf/internal/settings"
-	"celeryshelf/internal/trace"
 	"celeryshelf/io/caller"
-	"celeryshelf/io/etcd"
 	"celeryshelf/io/node"
-	"celeryshelf/io/operator"
+	"celeryshelf/io/store"
 	"celeryshelf/io/target"
+	"celeryshelf/io/tcp"
 )
 
 const (
 	// settlePoll is how often a draining node looks whether calls still run.
 	settlePoll   = 50 * time.Millisecond
-	settleMax    = 10 * time.Minute
 	closeTimeout = 2 * time.Second
 )
 
+// Tracer starts spans and exports them.
+type Tracer interface {
+	relay.Tracer
+	Close(ctx context.Context) error
+}
+
+// Side is one listener of a node besides those towards other nodes.
+type Side struct {
+	Name    string
+	Address netip.AddrPort
+	Server  *http.Server
+	// Callers says that the side closes, and finishes its calls, before the node
+	// ends its others.
+	Callers bool
+}
+
+// Config holds what an Agent is made of.
+type Config struct {
+	Self       member.Member // Node and Control are listened on
+	Peers      []netip.AddrPort
+	Heartbeats bool          // see core.Settings
+	Revoke     time.Duration // see core.Settings
+	Log        *slog.Logger
+	Store      store.Client
+	Layout     store.Layout
+	Lease      time.Duration
+	Dialect    func(*caller.Router) relay.Dialect
+	Tracer     Tracer
+	Target     target.Config
+	Grace      time.Duration // from the start of leaving until callers' sides close
+	Limit      time.Duration // from the start of leaving until calls are given up
+}
+
 // Agent is one node.
 type Agent struct {
-	settings settings.Settings
-	log      zerolog.Logger
+	Config
 	observer *observer
 	loop     *control.Loop
 	control  *node.Control
-	store    *etcd.Client
-	session  *etcd.Session
+	session  *store.Session
 	relay    *relay.Relay
-	provider *trace.Provider
+	sides    []Side
 	sent     *metrics.Counter
+	leaving  atomic.Bool
 	draining chan struct{}
 	once     sync.Once
-	servers  servers
-}
-
-// servers are a node's HTTP sides.
-type servers struct {
-	caller, outgoing, node, operator *http.Server
 }
 
 // New puts a node together. Its control side works until the context ends.
-func New(ctx context.Context, s settings.Settings, log zerolog.Logger) (*Agent, error) {
-	provider, err := trace.New(ctx, s.Trace, s.Name)
-	if err != nil {
-		return nil, err
-	}
+func New(ctx context.Context, c Config) *Agent {
 	a := &Agent{
-		settings: s, log: log, provider: provider,
-		draining: make(chan struct{}),
-		sent:     metrics.GetOrCreateCounter("celeryshelf_control_sent_bytes_total"),
+		Config: c, draining: make(chan struct{}),
+		sent: metrics.GetOrCreateCounter("celeryshelf_control_sent_bytes_total"),
 	}
+	c.Self.Incarnation, c.Self.Revision = uint64(time.Now().UnixNano()), 1
 	router := &caller.Router{}
-	a.observer = newObserver(log, router)
-	a.control = node.NewControl(ctx, node.ControlConfig{Name: s.Name, Meter: a})
-	a.store = etcd.NewClient(etcd.Config{Addresses: s.Store.Addresses})
-	a.session = etcd.NewSession(etcd.SessionConfig{
-		Client: a.store, Layout: etcd.Layout{Prefix: s.Store.Prefix},
-		Name: s.Name, TTL: s.Store.Lease.Duration, Warner: a.observer,
+	boot := clock.Boot{}
+	a.observer = newObserver(c.Log, router)
+	a.control = node.NewControl(ctx, node.ControlConfig{Name: c.Self.Name, Meter: a})
+	a.session = store.NewSession(store.Config{
+		Client: c.Store, Layout: c.Layout, Name: c.Self.Name, TTL: c.Lease, Warner: a.observer, Clock: boot,
 	})
 	a.loop = control.New(control.Config{
-		State:     core.New(core.Settings{Self: announcement(s), Seeds: s.Peers, Seed: rand.Uint64()}),
-		Messenger: a.control, Registrar: a.session, Observer: a.observer,
+		State: core.New(core.Settings{
+			Self: c.Self, Seeds: c.Peers, Seed: rand.Uint64(), Heartbeats: c.Heartbeats, Revoke: c.Revoke,
+		}),
+		Messenger: a.control, Registrar: a.session, Observer: a.observer, Clock: boot,
 	})
 	a.control.Attach(a.loop)
 	a.session.Attach(a.loop)
 	a.relay = relay.New(relay.Config{
-		Loop: a.loop, Router: router, Tracer: provider.Tracer("celeryshelf"),
-		Target: s.Target, Local: target.NewTransport(), Nodes: node.NewTransport(),
+		Loop: a.loop, Router: router, Dialect: c.Dialect(router), Tracer: c.Tracer, Clock: boot,
+		Local: target.NewClient(c.Target), Nodes: node.NewTransport(),
 	})
-	return a, a.build()
+	a.Add(Side{Name: "nodes", Address: c.Self.Node, Server: node.NewServer(a.relay.Node(node.Refuser{}))})
+	return a
 }
 
-func announcement(s settings.Settings) member.Member {
-	return member.Member{
-		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
-		Node: s.Listen.Node, Control: s.Listen.Control,
-		Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
-	}
+// Add gives the node another side. It must be called before Run.
+func (a *Agent) Add(s Side) { a.sides = append(a.sides, s) }
+
+// Calls returns the handler of a side through which calls enter the fleet. While
+// the node is leaving, its answers end their connections.
+func (a *Agent) Calls(origin core.Origin) http.Handler {
+	serve := a.relay.Serve(origin)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if a.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		serve.ServeHTTP(w, req)
+	})
 }
 
-func (a *Agent) build() error {
-	a.servers.caller = caller.NewServer(a.relay.Caller(caller.Refuser{}))
-	a.servers.outgoing = caller.NewServer(a.relay.Outgoing(caller.Refuser{}))
-	a.servers.node = node.NewServer(a.relay.Node(node.Refuser{}))
-	op, err := operator.NewServer(a)
-	if err != nil {
-		return fmt.Errorf("build operator side: %w", err)
-	}
-	a.servers.operator = op
-	return nil
+// Inspect runs a function on the node's state in the control goroutine. It reports
+// false when the loop has ended or the context did.
+func (a *Agent) Inspect(ctx context.Context, f func(s *core.State)) bool {
+	return a.loop.Inspect(ctx, f)
 }
 
+// SentBytes returns the bytes of control messages sent.
+func (a *Agent) SentBytes() uint64 { return a.sent.Get() }
+
 // Sent counts control bytes.
 func (a *Agent) Sent(n int) { a.sent.Add(n) }
 
@@ -116,36 +143,22 @@
 func (a *Agent) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	failed := make(chan error, 8)
+	failed := make(chan error, len(a.sides)+1)
 	var group sync.WaitGroup
-	serve := func(name string, s *http.Server, at netip.AddrPort) error {
-		l, err := net.Listen("tcp", at.String())
-		if err != nil {
-			return fmt.Errorf("listen for %s: %w", name, err)
-		}
-		group.Go(func() {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				failed <- fmt.Errorf("serve %s: %w", name, err)
-			}
-		})
-		return nil
-	}
-	if err := a.listen(serve); err != nil {
-		return err
-	}
-	l, err := net.Listen("tcp", a.settings.Listen.Control.String())
+	listener, err := a.serve(ctx, &group, failed)
 	if err != nil {
-		return fmt.Errorf("listen for control: %w", err)
+		a.close()
+		return err
 	}
 	group.Go(func() { a.loop.Run(work) })
 	group.Go(func() { a.session.Run(work) })
 	group.Go(func() {
-		if err := a.control.Serve(l); err != nil {
+		if err := a.control.Serve(listener); err != nil {
 			failed <- err
 		}
 	})
 	a.announce(work)
-	a.log.Info().Str("name", a.settings.Name).Str("service", a.settings.Service).Msg("started")
+	a.Log.Info("started", "name", a.Self.Name, "service", a.Self.Service, "domain", a.Self.Domain)
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -155,20 +168,31 @@
 	}
 	a.close()
 	stop()
-	_ = l.Close()
+	_ = listener.Close()
 	group.Wait()
-	a.log.Info().Msg("stopped")
+	a.Log.Info("stopped", "name", a.Self.Name)
 	return err
 }
 
-func (a *Agent) listen(serve func(string, *http.Server, netip.AddrPort) error) error {
-	l := a.settings.Listen
-	return errors.Join(
-		serve("callers", a.servers.caller, l.Caller),
-		serve("target", a.servers.outgoing, l.Outgoing),
-		serve("nodes", a.servers.node, l.Node),
-		serve("operators", a.servers.operator, l.Operator),
-	)
+// serve opens every listener and returns the one for control messages.
+func (a *Agent) serve(ctx context.Context, group *sync.WaitGroup, failed chan<- error) (net.Listener, error) {
+	config := tcp.ListenConfig()
+	for _, s := range a.sides {
+		l, err := config.Listen(ctx, "tcp", s.Address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
+		}
+		group.Go(func() {
+			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", s.Name, err)
+			}
+		})
+	}
+	l, err := config.Listen(ctx, "tcp", a.Self.Control.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for control: %w", err)
+	}
+	return l, nil
 }
 
 // announce has the node written to the store as soon as there is a lease.
@@ -179,21 +203,20 @@
 // leave drains the node: peers hear of it first, callers are served until the
 // grace has passed, and what runs is finished.
 func (a *Agent) leave() error {
-	a.loop.Post(&core.Drain{})
-	time.Sleep(a.settings.Grace.Duration)
-	ctx, cancel := context.WithTimeout(context.Background(), settleMax)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
 	defer cancel()
-	if err := a.servers.caller.Shutdown(ctx); err != nil {
-		return fmt.Errorf("close callers' side: %w", err)
+	a.Log.Info("leaving", "grace", a.Grace, "limit", a.Limit)
+	a.leaving.Store(true)
+	a.loop.Post(&core.Drain{})
+	time.Sleep(a.Grace)
+	if err := a.shutdown(ctx, true); err != nil {
+		return err
 	}
 	if err := a.settle(ctx); err != nil {
 		return err
 	}
-	if err := a.servers.node.Shutdown(ctx); err != nil {
-		return fmt.Errorf("close nodes' side: %w", err)
-	}
-	if err := a.servers.outgoing.Shutdown(ctx); err != nil {
-		return fmt.Errorf("close target's side: %w", err)
+	if err := a.shutdown(ctx, false); err != nil {
+		return err
 	}
 	bye, cancelBye := context.WithTimeout(ctx, closeTimeout)
 	defer cancelBye()
@@ -203,6 +226,19 @@
 	return nil
 }
 
+// shutdown closes the sides towards callers, or the others.
+func (a *Agent) shutdown(ctx context.Context, callers bool) error {
+	for _, s := range a.sides {
+		if s.Callers != callers {
+			continue
+		}
+		if err := s.Server.Shutdown(ctx); err != nil {
+			return fmt.Errorf("close side for %s: %w", s.Name, err)
+		}
+	}
+	return nil
+}
+
 // settle waits until no call is in progress.
 func (a *Agent) settle(ctx context.Context) error {
 	ticker := time.NewTicker(settlePoll)
@@ -221,27 +257,40 @@
 }
 
 func (a *Agent) close() {
-	for _, s := range []*http.Server{a.servers.caller, a.servers.outgoing, a.servers.node, a.servers.operator} {
-		_ = s.Close()
+	for _, s := range a.sides {
+		_ = s.Server.Close()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := a.provider.Close(ctx); err != nil {
-		a.log.Warn().Str("error", fmt.Sprintf("%q", err.Error())).Msg("trace")
+	if err := a.Tracer.Close(ctx); err != nil {
+		a.Log.Warn("trace", "error", err)
 	}
 }
 
 // Drain starts the node's departure.
 func (a *Agent) Drain() { a.once.Do(func() { close(a.draining) }) }
 
-// Ready reports whether a manifest is in force and the node is not leaving.
+// Ready reports whether a manifest is in force that can be trusted, and the node
+// is not leaving.
 func (a *Agent) Ready() bool {
+	if a.leaving.Load() {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	ready := false
-	a.loop.Inspect(ctx, func(s *core.State) {
-		v := s.View()
-		ready = v.Version > 0 && !v.Self.Draining
-	})
+	a.loop.Inspect(ctx, func(s *core.State) { ready = s.Ready(clock.Boot{}.Now()) })
 	return ready
 }
+
+// Heartbeat hands a heartbeat of the local target to the control loop and returns
+// once the node acts on it.
+func (a *Agent) Heartbeat(ctx context.Context, h core.Heartbeat) bool {
+	return a.loop.Do(ctx, &core.TargetSeen{Heartbeat: h})
+}
+
+// Gone tells the control loop that the local target has ended its registration
+// and returns once the node acts on it.
+func (a *Agent) Gone(ctx context.Context, id string) bool {
+	return a.loop.Do(ctx, &core.TargetGone{ID: id})
+}
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 
 	"celeryshelf/core"
 	"celeryshelf/core/manifest"
@@ -18,14 +18,15 @@
 
 // observer turns decisions into metrics and log lines.
 type observer struct {
-	log     zerolog.Logger
+	log     *slog.Logger
 	router  *caller.Router
 	actions [actionCount]*metrics.Counter
 	reasons [reasonCount]*metrics.Counter
 	notices map[core.NoticeKind]*metrics.Counter
+	volume  volume
 }
 
-func newObserver(log zerolog.Logger, router *caller.Router) *observer {
+func newObserver(log *slog.Logger, router *caller.Router) *observer {
 	o := &observer{log: log, router: router, notices: map[core.NoticeKind]*metrics.Counter{}}
 	for i := range o.actions {
 		name := fmt.Sprintf("celeryshelf_verdicts_total{action=%q}", core.Action(i))
@@ -38,16 +39,13 @@
 	return o
 }
 
-// Verdict counts a decision.
-func (o *observer) Verdict(v core.Verdict) {
+// Verdict counts a decision and logs it.
+func (o *observer) Verdict(v *core.Verdict, a *core.Arrive) {
 	o.actions[v.Action].Inc()
 	if v.Action == core.Refuse {
 		o.reasons[v.Reason].Inc()
 	}
-	if e := o.log.Debug(); e.Enabled() {
-		e.Str("call", fmt.Sprintf("%016x", uint64(v.Call))).Stringer("action", v.Action).
-			Stringer("reason", v.Reason).Str("endpoint", v.Endpoint).Msg("verdict")
-	}
+	o.decision(v, a)
 }
 
 // Notice logs and counts what operators want to know.
@@ -58,17 +56,17 @@
 		o.notices[n.Kind] = c
 	}
 	c.Inc()
-	e := o.log.Info()
+	attrs := make([]any, 0, 8)
 	if n.Peer != "" {
-		e = e.Str("peer", n.Peer)
+		attrs = append(attrs, "peer", n.Peer)
 	}
 	if n.Shard.Workspace != "" {
-		e = e.Str("workspace", n.Shard.Workspace).Int("shard", n.Shard.Index)
+		attrs = append(attrs, "workspace", n.Shard.Workspace, "shard", n.Shard.Index)
 	}
 	if n.Version != 0 {
-		e = e.Uint64("version", n.Version)
+		attrs = append(attrs, "version", n.Version)
 	}
-	e.Msg(n.Kind.String())
+	o.log.Info(n.Kind.String(), attrs...)
 }
 
 // InForce hands the routes and keys of a new manifest to the callers' side.
@@ -79,5 +77,5 @@
 
 // Warn logs a failure that the node works around.
 func (o *observer) Warn(err error) {
-	o.log.Warn().Str("error", fmt.Sprintf("%q", err.Error())).Msg("store")
+	o.log.Warn("store", "error", err)
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -15,9 +15,10 @@
 	"github.com/urfave/cli/v3"
 
 	"celeryshelf/core/manifest"
-	"celeryshelf/internal/agent"
 	"celeryshelf/internal/document"
+	"celeryshelf/internal/logging"
 	"celeryshelf/internal/settings"
+	"celeryshelf/internal/standalone"
 )
 
 // Exit codes of the program.
@@ -91,14 +92,14 @@
 			if err != nil {
 				return err
 			}
-			log, err := agent.NewLogger(os.Stderr, s.Log.Level)
+			log, err := logging.New(os.Stderr, s.Log.Level)
 			if err != nil {
 				return err
 			}
 			tune()
 			stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
-			a, err := agent.New(ctx, *s, log)
+			a, err := standalone.New(ctx, *s, log)
 			if err != nil {
 				return err
 			}
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -20,6 +20,7 @@
 	"celeryshelf/internal/fleet"
 	"celeryshelf/internal/standin"
 	"celeryshelf/io/etcd"
+	"celeryshelf/io/store"
 )
 
 const (
@@ -103,7 +104,7 @@
 // node drained.
 func (d *demo) exercise(ctx context.Context) ([]standin.Sample, error) {
 	client := etcd.NewClient(etcd.Config{Addresses: []netip.AddrPort{d.plan.Store}})
-	key := etcd.Layout{Prefix: d.plan.Units[0].Settings.Store.Prefix}.Manifest()
+	key := store.NewLayout(d.plan.Units[0].Settings.Store.Prefix).Manifest
 	if _, err := Apply(ctx, client, key, d.manifest, 0); err != nil {
 		return nil, err
 	}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -20,6 +20,7 @@
 	"celeryshelf/internal/document"
 	"celeryshelf/io/etcd"
 	"celeryshelf/io/operator"
+	"celeryshelf/io/store"
 )
 
 const (
@@ -61,7 +62,7 @@
 				return err
 			}
 			client := etcd.NewClient(etcd.Config{Addresses: []netip.AddrPort{at}})
-			key := etcd.Layout{Prefix: c.String("prefix")}.Manifest()
+			key := store.NewLayout(c.String("prefix")).Manifest
 			version, err := Apply(ctx, client, key, *m, c.Uint64("base"))
 			if err != nil {
 				return err
@@ -79,7 +80,7 @@
 
 // Swapper is the part of the store that Apply needs.
 type Swapper interface {
-	Get(ctx context.Context, key string) (*etcd.Pair, error)
+	Get(ctx context.Context, key string) (*store.Pair, error)
 	Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error)
 }
 
@@ -135,7 +136,7 @@
 	if err := json.Unmarshal(pair.Value, &v); err != nil {
 		return v, 0, fmt.Errorf("decode stored manifest: %w", err)
 	}
-	return v, pair.ModRevision, nil
+	return v, pair.Revision, nil
 }
 
 // confirm waits until every node has confirmed a version, and says which have.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -25,13 +25,19 @@
 
 // Observer is told what was decided; it must not block.
 type Observer interface {
-	Verdict(v core.Verdict)
+	Verdict(v *core.Verdict, a *core.Arrive)
 	Notice(n core.Notice)
 	InForce(m *manifest.Versioned)
 }
 
+// Clock tells the time by which the reducer judges.
+type Clock interface {
+	Now() time.Time
+}
+
 // Config holds what a Loop is made of.
 type Config struct {
+	Clock     Clock
 	State     *core.State
 	Messenger Messenger
 	Registrar Registrar
@@ -42,6 +48,7 @@
 	event   core.Event
 	ticket  *Ticket
 	inspect func(s *core.State)
+	applied chan struct{} // closed once the event has taken effect
 }
 
 // Loop is the control goroutine's queue and what it hands effects to.
@@ -73,7 +80,7 @@
 		case it := <-l.inbox:
 			l.handle(it)
 		case <-ticker.C:
-			l.apply(l.State.Step(time.Now(), tick))
+			l.apply(l.State.Step(l.Clock.Now(), tick))
 		case <-ctx.Done():
 			return
 		}
@@ -86,12 +93,21 @@
 // Inspect runs a function on the state in the control goroutine and waits for
 // it. It reports false when the loop has ended or the context did.
 func (l *Loop) Inspect(ctx context.Context, f func(s *core.State)) bool {
-	ran := make(chan struct{})
-	if !l.put(item{inspect: func(s *core.State) { f(s); close(ran) }}) {
+	return l.wait(ctx, item{inspect: f, applied: make(chan struct{})})
+}
+
+// Do queues an event and waits until it has taken effect. It reports false when
+// the loop has ended or the context did.
+func (l *Loop) Do(ctx context.Context, e core.Event) bool {
+	return l.wait(ctx, item{event: e, applied: make(chan struct{})})
+}
+
+func (l *Loop) wait(ctx context.Context, it item) bool {
+	if !l.put(it) {
 		return false
 	}
 	select {
-	case <-ran:
+	case <-it.applied:
 		return true
 	case <-ctx.Done():
 		return false
@@ -110,6 +126,9 @@
 }
 
 func (l *Loop) handle(it item) {
+	if it.applied != nil {
+		defer close(it.applied)
+	}
 	if it.inspect != nil {
 		it.inspect(l.State)
 		return
@@ -117,7 +136,7 @@
 	if it.ticket != nil {
 		l.tickets[it.ticket.arrive.Call] = it.ticket
 	}
-	effects := l.State.Step(time.Now(), it.event)
+	effects := l.State.Step(l.Clock.Now(), it.event)
 	l.apply(effects)
 	switch e := it.event.(type) {
 	case *core.Cancel:
@@ -146,11 +165,11 @@
 }
 
 func (l *Loop) deliver(v *core.Verdict) {
-	l.Observer.Verdict(*v)
 	t, ok := l.tickets[v.Call]
 	if !ok {
 		return
 	}
+	l.Observer.Verdict(v, &t.arrive)
 	t.verdicts <- *v
 	if v.Action == core.Refuse || v.Action == core.Replay || v.Action == core.Settle {
 		delete(l.tickets, v.Call)
--- a/internal/fleet/local.go
+++ b/internal/fleet/local.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 
-	"github.com/rs/zerolog"
-
-	"celeryshelf/internal/agent"
+	"celeryshelf/internal/logging"
+	"celeryshelf/internal/standalone"
 	"celeryshelf/internal/standin"
 )
 
@@ -18,7 +18,7 @@
 type Local struct {
 	Plan   Plan
 	Store  *standin.Store
-	agents map[string]*agent.Agent
+	agents map[string]*standalone.Node
 	group  sync.WaitGroup
 	mu     sync.Mutex
 	errs   []error
@@ -26,14 +26,14 @@
 
 // StartLocal starts every part of a plan; they work until the context ends.
 func StartLocal(ctx context.Context, p Plan, logs io.Writer) (*Local, error) {
-	l := &Local{Plan: p, Store: standin.NewStore(), agents: map[string]*agent.Agent{}}
+	l := &Local{Plan: p, Store: standin.NewStore(), agents: map[string]*standalone.Node{}}
 	stop := make(chan struct{})
 	context.AfterFunc(ctx, func() { close(stop) })
 	l.group.Go(func() { l.Store.Expire(stop) })
 	if err := l.serve(ctx, p.Store.String(), l.Store); err != nil {
 		return nil, err
 	}
-	log, err := agent.NewLogger(logs, zerolog.LevelInfoValue)
+	log, err := logging.New(logs, "info")
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +41,7 @@
 		if err := l.serve(ctx, u.Target.Listen.String(), standin.NewTarget(u.Target)); err != nil {
 			return nil, err
 		}
-		if err := l.start(ctx, u, log.With().Str("node", u.Settings.Name).Logger()); err != nil {
+		if err := l.start(ctx, u, log.With("node", u.Settings.Name)); err != nil {
 			return nil, err
 		}
 	}
@@ -59,11 +59,11 @@
 	return nil
 }
 
-func (l *Local) start(ctx context.Context, u Unit, log zerolog.Logger) error {
+func (l *Local) start(ctx context.Context, u Unit, log *slog.Logger) error {
 	// The agents drain when the context ends, so they need one of their own to
 	// send the last messages under.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	a, err := agent.New(work, u.Settings, log)
+	a, err := standalone.New(work, u.Settings, log)
 	if err != nil {
 		stop()
 		return err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -1,21 +1,20 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"time"
-
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
+	"strings"
+	"sync/atomic"
 
 	"celeryshelf/core"
 	"celeryshelf/internal/control"
 	"celeryshelf/io/node"
+	"celeryshelf/io/target"
 )
 
 // exchange is one call on its way through the node.
@@ -24,7 +23,7 @@
 	w       http.ResponseWriter
 	req     *http.Request
 	ctx     context.Context
-	span    trace.Span
+	span    Span
 	body    body
 	ticket  *control.Ticket
 	refuser Refuser
@@ -53,7 +52,7 @@
 			x.replay(v)
 			return
 		case core.Deliver:
-			x.deliver()
+			x.pass()
 			return
 		case core.Run, core.Forward:
 			x.drop()
@@ -79,9 +78,8 @@
 }
 
 func (x *exchange) refuse(v core.Verdict) {
-	if x.span.IsRecording() {
-		x.span.SetAttributes(attribute.String("reason", v.Reason.String()), attribute.String("ran", v.Ran.String()))
-	}
+	x.span.Set("reason", v.Reason.String())
+	x.span.Set("ran", v.Ran.String())
 	x.refuser.Refuse(x.w, v)
 }
 
@@ -102,19 +100,11 @@
 
 // attempt sends the call on and reports whether another verdict is to come.
 func (x *exchange) attempt(v core.Verdict) bool {
-	ctx, cancel := context.WithDeadline(x.ctx, v.Deadline)
+	ctx, cancel := context.WithTimeout(x.ctx, v.Deadline.Sub(x.Clock.Now()))
 	x.release = cancel
-	connected := false
-	out := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	}), v)
-	transport := x.Local
-	if v.Action == core.Forward {
-		transport = x.Nodes
-	}
-	res, err := transport.RoundTrip(out) //nolint:bodyclose // drop or deliver closes it
+	res, sent, err := x.send(ctx, v)
 	if err != nil {
-		x.failed(ctx, connected)
+		x.failed(ctx, sent)
 		return true
 	}
 	x.held = res
@@ -125,26 +115,47 @@
 			return true
 		}
 	}
-	if x.shed() && x.origin != core.FromNode && x.body.replayable {
-		x.ticket.Fail(core.Fail{Cause: core.Shed, Ran: core.RanUnknown})
+	if declined, ran := x.Dialect.Declined(res); declined && x.weighs(ran) {
+		x.ticket.Fail(core.Fail{Cause: core.Shed, Ran: ran})
 		return true
 	}
-	x.deliver()
-	return false
+	return x.deliver(ctx)
+}
+
+// weighs reports whether an answer by which the target declined a call is for the
+// control loop to judge. One that proves nothing is passed on by a node beside
+// the target, as only the entry may send the call elsewhere.
+func (x *exchange) weighs(ran core.Ran) bool {
+	if x.origin == core.FromNode {
+		return ran == core.RanNo
+	}
+	return x.body.replayable
 }
 
-// shed reports whether the target itself refused the call as overloaded.
-func (x *exchange) shed() bool { return x.held.StatusCode == http.StatusServiceUnavailable }
+// send makes one attempt and reports whether any of it may have been read.
+func (x *exchange) send(ctx context.Context, v core.Verdict) (res *http.Response, sent bool, err error) {
+	if v.Action == core.Run {
+		out := x.outgoing(ctx, v)
+		res, err = x.Local.RoundTrip(out)
+		return res, !errors.Is(err, target.ErrNotSent), err
+	}
+	var connected atomic.Bool
+	out := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), v)
+	res, err = x.Nodes.RoundTrip(out)
+	return res, connected.Load(), err
+}
 
-// failed reports an attempt without an answer. The call has not run if there was
-// never a connection for it.
-func (x *exchange) failed(ctx context.Context, connected bool) {
+// failed reports an attempt without an answer. The call has not run if none of it
+// was sent.
+func (x *exchange) failed(ctx context.Context, sent bool) {
 	if x.ctx.Err() != nil {
 		x.ticket.Cancel()
 		panic(http.ErrAbortHandler)
 	}
 	f := core.Fail{Cause: core.Unreachable, Ran: core.RanNo}
-	if connected {
+	if sent {
 		f.Cause, f.Ran = core.Broken, core.RanUnknown
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -155,19 +166,19 @@
 
 // outgoing builds the request of one attempt.
 func (x *exchange) outgoing(ctx context.Context, v core.Verdict) *http.Request {
-	u := &url.URL{Scheme: "http", Path: x.req.URL.Path, RawPath: x.req.URL.RawPath, RawQuery: x.req.URL.RawQuery}
+	u := x.location()
 	h := copyHeader(x.req.Header)
 	delete(h, "Expect")
 	if x.origin != core.FromNode {
-		scrub(h, u, x.secret, x.Router)
+		x.Dialect.Scrub(h, u, x.secret)
 	}
-	propagator.Inject(trace.ContextWithSpan(ctx, x.span), propagation.HeaderCarrier(h))
+	x.span.Inject(h)
 	if v.Action == core.Forward {
 		u.Host = v.Address.String()
 		node.SetPass(h, v.Pass)
 	} else {
-		u.Host = x.Target.String()
-		h[node.HeaderTimeout] = []string{time.Until(v.Deadline).Round(time.Millisecond).String()}
+		u.Host = x.req.Host
+		x.Dialect.Present(h, v, v.Deadline.Sub(x.Clock.Now()))
 	}
 	out := (&http.Request{
 		Method: x.req.Method, URL: u, Host: x.req.Host, Header: h,
@@ -178,8 +189,54 @@
 	return out
 }
 
-// deliver passes the answer in hand on, whole or not at all.
-func (x *exchange) deliver() {
+// location returns where a request goes, its path spelled as it came.
+func (x *exchange) location() *url.URL {
+	path, _, _ := strings.Cut(x.req.RequestURI, "?")
+	u := &url.URL{Scheme: "http", Path: x.req.URL.Path, RawPath: x.req.URL.RawPath, RawQuery: x.req.URL.RawQuery}
+	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		u.Opaque = path
+	}
+	return u
+}
+
+// deliver passes the answer in hand on, whole or not at all, and reports whether
+// another verdict is to come. A node at which the call entered holds a small
+// answer until it is complete, so that a broken one can be had again.
+func (x *exchange) deliver(ctx context.Context) bool {
+	if x.origin != core.FromNode && x.body.replayable {
+		if err := x.gather(); err != nil {
+			x.failed(ctx, true)
+			return true
+		}
+	}
+	x.pass()
+	return false
+}
+
+// maxGathered is the largest answer that is held until it is complete, in bytes.
+const maxGathered = 64 << 10
+
+// gather reads an answer that is known to be small into memory.
+func (x *exchange) gather() error {
+	res := x.held
+	if res.ContentLength <= 0 || res.ContentLength > maxGathered {
+		return nil
+	}
+	whole := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, whole); err != nil {
+		return err
+	}
+	// Trailers arrive with the end of the body.
+	if _, err := res.Body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	_ = res.Body.Close()
+	res.Body = io.NopCloser(bytes.NewReader(whole))
+	return nil
+}
+
+// pass sends the answer in hand to whoever asked.
+func (x *exchange) pass() {
 	res := x.held
 	x.held = nil
 	defer func() { _ = res.Body.Close() }()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,15 +1,10 @@
 package relay
 
 import (
-	"encoding/binary"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"celeryshelf/core"
 	"celeryshelf/core/manifest"
@@ -19,18 +14,23 @@
 
 // Router finds the route that a request takes.
 type Router interface {
-	KeyRing
 	Route(r *http.Request) (name string, ok bool)
 }
 
+// Clock tells the time by which the reducer judges.
+type Clock interface {
+	Now() time.Time
+}
+
 // Config holds what a Relay is made of.
 type Config struct {
-	Loop   *control.Loop
-	Router Router
-	Tracer trace.Tracer
-	Target netip.AddrPort    // the local target
-	Local  http.RoundTripper // towards the local target
-	Nodes  http.RoundTripper // towards other nodes
+	Loop    *control.Loop
+	Router  Router
+	Dialect Dialect
+	Tracer  Tracer
+	Clock   Clock
+	Local   http.RoundTripper // towards the local target
+	Nodes   http.RoundTripper // towards other nodes
 }
 
 // Relay carries calls for one node.
@@ -44,35 +44,19 @@
 	return &Relay{Config: c, kept: newAnswers()}
 }
 
-// Refuser writes a refusal to whoever sent the call.
-type Refuser interface {
-	Refuse(w http.ResponseWriter, v core.Verdict)
-}
-
-var propagator = propagation.TraceContext{}
-
-// Caller serves calls that come from outside with a key.
-func (r *Relay) Caller(refuser Refuser) http.Handler {
-	return r.entry(core.FromCaller, refuser)
-}
-
-// Outgoing serves the calls that the local target makes.
-func (r *Relay) Outgoing(refuser Refuser) http.Handler {
-	return r.entry(core.FromTarget, refuser)
-}
-
-func (r *Relay) entry(origin core.Origin, refuser Refuser) http.Handler {
+// Serve serves calls from outside the fleet that reach the node on one side.
+func (r *Relay) Serve(origin core.Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		a := core.Arrive{Origin: origin, Repeat: repeatOf(req), Timeout: timeoutOf(req.Header)}
+		ask := r.Dialect.Ask(req)
+		a := core.Arrive{Origin: origin, ID: ask.ID, Repeat: ask.Repeat, Timeout: ask.Timeout, Keyed: ask.Keyed}
 		a.Route, _ = r.Router.Route(req)
-		secret, keyed := Secret(req.Header)
-		if keyed {
-			a.Key, a.Keyed = manifest.DigestOf(secret), true
+		if ask.Keyed {
+			a.Key = manifest.DigestOf(ask.Secret)
 		}
 		if origin == core.FromTarget {
 			a.Request = requestDigest(req)
 		}
-		r.serve(w, req, a, refuser, secret)
+		r.carry(w, req, a, r.Dialect, ask.Secret)
 	})
 }
 
@@ -84,72 +68,47 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		r.serve(w, req, core.Arrive{Origin: core.FromNode, Pass: pass}, refuser, "")
+		ask := r.Dialect.Ask(req)
+		r.carry(w, req, core.Arrive{Origin: core.FromNode, ID: ask.ID, Pass: pass}, refuser, "")
 	})
 }
 
-func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.Arrive, refuser Refuser, secret string) {
+func (r *Relay) carry(w http.ResponseWriter, req *http.Request, a core.Arrive, refuser Refuser, secret string) {
 	body, err := openBody(req)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		refuser.Refuse(w, core.Verdict{Reason: core.BadBody})
 		return
 	}
-	ctx := propagator.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
-	parent := trace.SpanContextFromContext(ctx)
-	ctx, span := r.Tracer.Start(ctx, "call", trace.WithSpanKind(trace.SpanKindServer))
+	req, span := r.Tracer.Start(req)
 	defer span.End()
-	a.Call = callOf(span.SpanContext())
+	a.Call = span.Call()
 	a.Replayable = body.replayable
 	switch a.Origin {
-	case core.FromCaller:
-		a.Seed = seed(a, span.SpanContext())
+	case core.FromCaller, core.FromEither:
+		a.Seed = seed(a, span)
 	case core.FromTarget:
-		a.Parent = callOf(parent)
-		a.Seed = seed(a, span.SpanContext())
+		a.Parent, a.Seed = span.Parent(), seed(a, span)
 	case core.FromNode:
 	}
-	if span.IsRecording() {
-		span.SetAttributes(attribute.String("origin", a.Origin.String()), attribute.String("route", a.Route+a.Pass.Route))
-	}
+	span.Set("origin", a.Origin.String())
+	span.Set("route", a.Route+a.Pass.Route)
 	x := &exchange{
-		Relay: r, w: w, req: req, ctx: ctx, span: span, body: body,
+		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
 		refuser: refuser, secret: secret, origin: a.Origin,
 	}
 	x.ticket = r.Loop.Begin(a)
 	x.follow()
 }
 
-func callOf(sc trace.SpanContext) core.CallID {
-	id := sc.SpanID()
-	return core.CallID(binary.BigEndian.Uint64(id[:]))
-}
-
 // seed identifies the root call, alike for repeats of a caller that says so.
-func seed(a core.Arrive, sc trace.SpanContext) uint64 {
+func seed(a core.Arrive, s Span) uint64 {
 	if a.Repeat != 0 {
 		return a.Repeat
 	}
-	id := sc.TraceID()
-	return xxhash.Sum64(id[:])
-}
-
-// repeatOf digests the Idempotency-Key together with what is asked, or returns 0.
-func repeatOf(req *http.Request) uint64 {
-	key := req.Header.Get("Idempotency-Key")
-	if key == "" {
-		return 0
-	}
-	return max(1, xxhash.Sum64String(key+" "+req.Method+" "+req.URL.Path))
+	return s.Root()
 }
 
 func requestDigest(req *http.Request) uint64 {
 	return xxhash.Sum64String(req.Method + " " + req.URL.RequestURI())
 }
-
-func timeoutOf(h http.Header) time.Duration {
-	d, err := time.ParseDuration(h.Get(node.HeaderTimeout))
-	if err != nil || d < 0 {
-		return 0
-	}
-	return d
-}
--- /dev/null
+++ b/internal/standalone/node.go
@@ -0,0 +1,64 @@
+package standalone
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/member"
+	"celeryshelf/internal/agent"
+	"celeryshelf/internal/relay"
+	"celeryshelf/internal/settings"
+	"celeryshelf/internal/trace"
+	"celeryshelf/io/caller"
+	"celeryshelf/io/etcd"
+	"celeryshelf/io/operator"
+	"celeryshelf/io/store"
+	"celeryshelf/io/target"
+)
+
+// leaveLimit is how long a leaving node waits for calls, which may last as long
+// as the longest route timeout.
+const leaveLimit = 10 * time.Minute
+
+// Node is a node with its operators' side.
+type Node struct {
+	*agent.Agent
+	store *etcd.Client
+}
+
+// New puts a node together. Its control side works until the context ends.
+func New(ctx context.Context, s settings.Settings, log *slog.Logger) (*Node, error) {
+	provider, err := trace.New(ctx, s.Trace, s.Name)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{store: etcd.NewClient(etcd.Config{Addresses: s.Store.Addresses})}
+	n.Agent = agent.New(ctx, agent.Config{
+		Self: member.Member{
+			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
+			Node: s.Listen.Node, Control: s.Listen.Control,
+		},
+		Peers: s.Peers, Log: log, Tracer: provider,
+		Store: n.store, Layout: store.NewLayout(s.Store.Prefix), Lease: s.Store.Lease.Duration,
+		Dialect: func(r *caller.Router) relay.Dialect { return caller.Dialect{Ring: r} },
+		Target:  target.Config{Address: s.Target},
+		Grace:   s.Grace.Duration, Limit: leaveLimit,
+	})
+	op, err := operator.NewServer(n)
+	if err != nil {
+		return nil, fmt.Errorf("build operator side: %w", err)
+	}
+	n.Add(agent.Side{
+		Name: "callers", Address: s.Listen.Caller, Callers: true,
+		Server: caller.NewServer(n.Calls(core.FromCaller)),
+	})
+	n.Add(agent.Side{
+		Name: "target", Address: s.Listen.Outgoing,
+		Server: caller.NewServer(n.Calls(core.FromTarget)),
+	})
+	n.Add(agent.Side{Name: "operators", Address: s.Listen.Operator, Server: op})
+	return n, nil
+}
--- a/internal/agent/status.go
+++ b/internal/standalone/status.go
@@ -1,4 +1,4 @@
-package agent
+package standalone
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 )
 
 // Status returns what the node says of itself and of the fleet.
-func (a *Agent) Status(ctx context.Context) (operator.Status, error) {
+func (n *Node) Status(ctx context.Context) (operator.Status, error) {
 	var view core.View
 	var owners []core.ShardRecord
-	if !a.loop.Inspect(ctx, func(s *core.State) { view, owners = s.View(), s.Owners() }) {
+	if !n.Inspect(ctx, func(s *core.State) { view, owners = s.View(), s.Owners() }) {
 		return operator.Status{}, control.ErrStopped
 	}
 	out := operator.Status{
 		Self: memberStatus(view.Self), Version: view.Version, Store: view.Store,
-		StoreCalls: a.store.Calls(), SentBytes: a.sent.Get(), CPU: cpuTime().String(),
+		StoreCalls: n.store.Calls(), SentBytes: n.SentBytes(), CPU: cpuTime().String(),
 		Calls: view.Calls, Held: view.Shards,
 		Gate: operator.Gate{
 			Limit: view.Gate.Limit, Running: view.Gate.Running,
--- a/io/caller/router.go
+++ b/io/caller/router.go
@@ -13,16 +13,13 @@
 }
 
 type table struct {
-	mux     *http.ServeMux
+	*manifest.Matcher
 	digests map[manifest.Digest]bool
 }
 
 // Use puts a manifest's routes and keys in force.
 func (r *Router) Use(m *manifest.Manifest) {
-	t := &table{mux: http.NewServeMux(), digests: map[manifest.Digest]bool{}}
-	for _, route := range m.Routes {
-		t.mux.Handle(route.Method+" "+route.Path, named(route.Name))
-	}
+	t := &table{Matcher: manifest.NewMatcher(m.Routes), digests: map[manifest.Digest]bool{}}
 	for _, w := range m.Workspaces {
 		for _, k := range w.Keys {
 			t.digests[k.Digest] = true
@@ -31,21 +28,17 @@
 	r.table.Store(t)
 }
 
-// named is a handler that only carries a route's name.
-type named string
-
-// ServeHTTP is never called: the mux is used as a matcher.
-func (named) ServeHTTP(http.ResponseWriter, *http.Request) {}
-
 // Route returns the name of the route that a request takes.
 func (r *Router) Route(req *http.Request) (string, bool) {
 	t := r.table.Load()
 	if t == nil {
 		return "", false
 	}
-	h, _ := t.mux.Handler(req)
-	name, ok := h.(named)
-	return string(name), ok
+	route := t.Match(req.Method, req.Host, req.URL.EscapedPath())
+	if route == nil {
+		return "", false
+	}
+	return route.Name, true
 }
 
 // Known reports whether a digest is that of a key in force.
--- a/internal/relay/secret.go
+++ b/io/caller/secret.go
@@ -1,4 +1,4 @@
-package relay
+package caller
 
 import (
 	"net/http"
@@ -11,25 +11,14 @@
 // keyHeaders may carry a caller's key and never reach a target, whatever they hold.
 var keyHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Apikey"}
 
-// Secret returns the key that came with a request, as a bearer token or in X-Api-Key.
-func Secret(h http.Header) (string, bool) {
-	if scheme, token, ok := strings.Cut(h.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
-		return strings.TrimSpace(token), true
-	}
-	if key := h.Get("X-Api-Key"); key != "" {
-		return strings.TrimSpace(key), true
-	}
-	return "", false
-}
-
 // KeyRing tells whether a digest is that of a key in force.
 type KeyRing interface {
 	Known(d manifest.Digest) bool
 }
 
-// scrub removes every trace of a key from the headers and the query of a request
+// Scrub removes every trace of a key from the headers and the query of a request
 // that goes on to a target.
-func scrub(h http.Header, u *url.URL, secret string, ring KeyRing) {
+func Scrub(h http.Header, u *url.URL, secret string, ring KeyRing) {
 	for _, name := range keyHeaders {
 		delete(h, name)
 	}
--- a/internal/relay/secret_test.go
+++ b/io/caller/secret_test.go
@@ -1,4 +1,4 @@
-package relay
+package caller
 
 import (
 	"net/http"
@@ -30,7 +30,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			u := &url.URL{RawQuery: tt.query}
-			scrub(tt.header, u, tt.secret, keys)
+			Scrub(tt.header, u, tt.secret, keys)
 			if u.RawQuery != tt.want {
 				t.Errorf("query %q, want %q", u.RawQuery, tt.want)
 			}
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"celeryshelf/io/store"
 )
 
 const (
@@ -55,16 +57,20 @@
 // Calls returns the number of calls made so far.
 func (c *Client) Calls() uint64 { return c.calls.Load() }
 
-// Range returns the pairs whose key starts with the prefix and the revision they
+// Range returns the pairs under a prefix and the revision they
 // were read at.
-func (c *Client) Range(ctx context.Context, prefix string) ([]Pair, int64, error) {
+func (c *Client) Range(ctx context.Context, prefix string) ([]store.Pair, int64, error) {
 	var out rangeResponse
 	err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}, &out)
-	return out.Pairs, out.Header.Revision, err
+	pairs := make([]store.Pair, 0, len(out.Pairs))
+	for _, p := range out.Pairs {
+		pairs = append(pairs, p.pair())
+	}
+	return pairs, out.Header.Revision, err
 }
 
 // Get returns the pair of a key, or nil if there is none.
-func (c *Client) Get(ctx context.Context, key string) (*Pair, error) {
+func (c *Client) Get(ctx context.Context, key string) (*store.Pair, error) {
 	var out rangeResponse
 	if err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
 		return nil, err
@@ -72,19 +78,8 @@
 	if len(out.Pairs) == 0 {
 		return nil, nil
 	}
-	return &out.Pairs[0], nil
-}
-
-// Revision returns the revision at which a key was last written, 0 if it is absent.
-func (c *Client) Revision(ctx context.Context, key string) (int64, error) {
-	var out rangeResponse
-	if err := c.call(ctx, "kv/range", rangeRequest{Key: []byte(key), KeysOnly: true}, &out); err != nil {
-		return 0, err
-	}
-	if len(out.Pairs) == 0 {
-		return 0, nil
-	}
-	return out.Pairs[0].ModRevision, nil
+	p := out.Pairs[0].pair()
+	return &p, nil
 }
 
 // Put writes a value under a lease, 0 for none.
@@ -150,16 +145,9 @@
 	return c.call(ctx, "lease/revoke", leaseRequest{ID: lease}, nil)
 }
 
-// Change is one write or deletion that a watch reports.
-type Change struct {
-	Key     string
-	Value   []byte // nil if the key was deleted
-	Deleted bool
-}
-
 // Watch reports the changes under a prefix from a revision on, until the context
 // ends or the stream breaks.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, report func(Change, int64)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, report func(store.Change, int64)) error {
 	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}}
 	res, err := c.post(ctx, "watch", req)
 	if err != nil {
@@ -176,7 +164,7 @@
 			return errors.New("watch canceled by the store")
 		}
 		for _, e := range out.Result.Events {
-			report(Change{Key: string(e.Pair.Key), Value: e.Pair.Value, Deleted: e.Type == eventDelete}, out.Result.Header.Revision)
+			report(store.Change{Key: string(e.Pair.Key), Value: e.Pair.Value, Deleted: e.Type == eventDelete}, out.Result.Header.Revision)
 		}
 	}
 }
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -1,28 +1,31 @@
 package etcd
 
+import "celeryshelf/io/store"
+
 // header comes with every answer.
 type header struct {
 	Revision int64 `json:"revision,string"`
 }
 
-// Pair is one key with its value and revisions.
-type Pair struct {
-	Key            []byte `json:"key"`
-	Value          []byte `json:"value"`
-	CreateRevision int64  `json:"create_revision,string"`
-	ModRevision    int64  `json:"mod_revision,string"`
-	Lease          int64  `json:"lease,string"`
+// keyValue is one key with its value and last revision.
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+func (kv keyValue) pair() store.Pair {
+	return store.Pair{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
 }
 
 type rangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
-	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 type rangeResponse struct {
-	Header header `json:"header"`
-	Pairs  []Pair `json:"kvs"`
+	Header header     `json:"header"`
+	Pairs  []keyValue `json:"kvs"`
 }
 
 // Targets and results of a comparison.
@@ -94,8 +97,8 @@
 const eventDelete = "DELETE"
 
 type watchEvent struct {
-	Type string `json:"type"`
-	Pair Pair   `json:"kv"`
+	Type string   `json:"type"`
+	Pair keyValue `json:"kv"`
 }
 
 type watchResult struct {
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -80,13 +80,9 @@
 	return p, nil
 }
 
-// formatRank writes importance, depth and hash with dots between.
+// formatRank writes class, depth and hash with dots between.
 func formatRank(r admit.Rank) string {
-	important := "0"
-	if r.Important {
-		important = "1"
-	}
-	return important + "." + strconv.Itoa(int(r.Depth)) + "." + strconv.Itoa(int(r.Hash))
+	return strconv.Itoa(int(r.Class)) + "." + strconv.Itoa(int(r.Depth)) + "." + strconv.Itoa(int(r.Hash))
 }
 
 func parseRank(text string) (admit.Rank, error) {
@@ -94,6 +90,10 @@
 	if len(parts) != 3 {
 		return admit.Rank{}, fmt.Errorf("rank %q has not three parts", text)
 	}
+	class, err := strconv.ParseUint(parts[0], 10, 8)
+	if err != nil || class >= admit.Classes {
+		return admit.Rank{}, fmt.Errorf("rank %q: class out of range", text)
+	}
 	depth, err := strconv.ParseUint(parts[1], 10, 8)
 	if err != nil || depth > maxDepth {
 		return admit.Rank{}, fmt.Errorf("rank %q: depth out of range", text)
@@ -102,7 +102,7 @@
 	if err != nil || hash >= admit.HashBuckets {
 		return admit.Rank{}, fmt.Errorf("rank %q: hash out of range", text)
 	}
-	return admit.Rank{Important: parts[0] == "1", Depth: uint8(depth), Hash: uint16(hash)}, nil
+	return admit.Rank{Class: uint8(class), Depth: uint8(depth), Hash: uint16(hash)}, nil
 }
 
 // Outcome is what a node reports with an answer or a refusal.
--- a/io/node/header_test.go
+++ b/io/node/header_test.go
@@ -18,9 +18,9 @@
 			Workspace: rapid.StringMatching(`[a-z0-9-]{0,20}`).Draw(t, "workspace"),
 			Route:     rapid.StringMatching(`[a-z0-9-]{1,20}`).Draw(t, "route"),
 			Rank: admit.Rank{
-				Important: rapid.Bool().Draw(t, "important"),
-				Depth:     rapid.Uint8().Draw(t, "depth"),
-				Hash:      rapid.Uint16Range(0, admit.HashBuckets-1).Draw(t, "hash"),
+				Class: rapid.Uint8Range(0, admit.Classes-1).Draw(t, "class"),
+				Depth: rapid.Uint8().Draw(t, "depth"),
+				Hash:  rapid.Uint16Range(0, admit.HashBuckets-1).Draw(t, "hash"),
 			},
 			Budget:  rapid.IntRange(0, 8).Draw(t, "budget"),
 			Timeout: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "timeout")),
--- /dev/null
+++ b/io/store/client.go
@@ -0,0 +1,46 @@
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Pair is one key with its value.
+type Pair struct {
+	Key      string
+	Value    []byte
+	Revision int64 // of the last write
+}
+
+// Change is one write or deletion that a watch reports.
+type Change struct {
+	Key     string
+	Value   []byte // nil if the key was deleted
+	Deleted bool
+}
+
+// Client makes the calls of one store protocol. A call that returns an error may
+// have taken effect, or take effect later.
+type Client interface {
+	// Get returns the pair of a key, or nil if there is none.
+	Get(ctx context.Context, key string) (*Pair, error)
+	// Range returns the pairs whose key starts with the prefix and a revision from
+	// which a watch misses no later change.
+	Range(ctx context.Context, prefix string) ([]Pair, int64, error)
+	// Watch reports the changes under a prefix from a revision on, until the
+	// context ends or the watch breaks.
+	Watch(ctx context.Context, prefix string, from int64, report func(Change, int64)) error
+	// Put writes a value under a lease.
+	Put(ctx context.Context, key string, value []byte, lease int64) error
+	// Create writes a value if neither its key nor any rival exists, and reports
+	// whether it did.
+	Create(ctx context.Context, key string, rivals []string, value []byte, lease int64) (bool, error)
+	// DeleteValue deletes a key that holds exactly the value and reports whether it did.
+	DeleteValue(ctx context.Context, key string, value []byte) (bool, error)
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	// KeepAlive renews a lease and returns its time to live, 0 if it has run out.
+	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	// Revoke ends a lease and deletes the keys under it.
+	Revoke(ctx context.Context, lease int64) error
+}
--- a/io/etcd/layout.go
+++ b/io/store/layout.go
@@ -1,4 +1,4 @@
-package etcd
+package store
 
 import (
 	"encoding/json"
@@ -12,13 +12,37 @@
 	"celeryshelf/core/quota"
 )
 
-// Layout names the keys under one prefix.
+// Codec reads the operators' manifest from its value in the store.
+type Codec interface {
+	Manifest(value []byte) (manifest.Versioned, error)
+}
+
+// JSON is the product's own encoding of a manifest.
+type JSON struct{}
+
+// Manifest decodes a value.
+func (JSON) Manifest(value []byte) (manifest.Versioned, error) {
+	var m manifest.Versioned
+	if err := json.Unmarshal(value, &m); err != nil {
+		return m, fmt.Errorf("decode manifest: %w", err)
+	}
+	return m, nil
+}
+
+// Layout names the keys: the system's own under one prefix, and the manifest's.
 type Layout struct {
-	Prefix string
+	Prefix   string
+	Manifest string // the key of the manifest, which may lie outside the prefix
+	Codec    Codec
 }
 
-// Manifest returns the key of the manifest.
-func (l Layout) Manifest() string { return l.Prefix + "manifest" }
+// NewLayout returns the product's own layout under a prefix.
+func NewLayout(prefix string) Layout {
+	return Layout{Prefix: prefix, Manifest: prefix + "manifest", Codec: JSON{}}
+}
+
+// inside reports whether the manifest's key lies under the prefix.
+func (l Layout) inside() bool { return strings.HasPrefix(l.Manifest, l.Prefix) }
 
 func (l Layout) member(name string) string { return l.Prefix + "member/" + name }
 
@@ -35,14 +59,15 @@
 // event turns a change into what the reducer takes in, or nil for keys that are
 // not the system's.
 func (l Layout) event(c Change) (core.Event, error) {
+	if c.Key == l.Manifest {
+		return l.manifestEvent(c)
+	}
 	name, ok := strings.CutPrefix(c.Key, l.Prefix)
 	if !ok {
 		return nil, nil
 	}
 	kind, rest, _ := strings.Cut(name, "/")
 	switch kind {
-	case "manifest":
-		return manifestEvent(c)
 	case "member":
 		return memberEvent(rest, c)
 	case "quota":
@@ -52,13 +77,13 @@
 	}
 }
 
-func manifestEvent(c Change) (core.Event, error) {
+func (l Layout) manifestEvent(c Change) (core.Event, error) {
 	if c.Deleted {
 		return nil, nil
 	}
-	var m manifest.Versioned
-	if err := json.Unmarshal(c.Value, &m); err != nil {
-		return nil, fmt.Errorf("decode manifest: %w", err)
+	m, err := l.Codec.Manifest(c.Value)
+	if err != nil {
+		return nil, err
 	}
 	return &core.ManifestSeen{Manifest: m}, nil
 }
--- a/io/etcd/session.go
+++ b/io/store/session.go
@@ -1,26 +1,26 @@
-package etcd
+package store
 
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"celeryshelf/core"
 )
 
 const (
 	// renewals of a lease in its time to live; two may fail in a row.
-	renewals    = 3
-	probePeriod = 1 * time.Second
+	renewals = 3
+	// steady is how long a watch must stand for the next failure to count as the first.
+	steady = 1 * time.Second
 	// Failed calls are tried again after a time between firstPause and maxPause,
 	// drawn at random so that a returning store is not met by every node at once.
 	firstPause  = 200 * time.Millisecond
-	maxPause    = 3 * time.Second
+	maxPause    = 1600 * time.Millisecond
 	requestRoom = 256
 )
 
@@ -34,21 +34,28 @@
 	Warn(err error)
 }
 
-// SessionConfig holds what a Session is made of.
-type SessionConfig struct {
-	Client *Client
+// Clock tells the time by which the reducer judges.
+type Clock interface {
+	Now() time.Time
+}
+
+// Config holds what a Session is made of.
+type Config struct {
+	Client Client
 	Layout Layout
 	Name   string // of the node
 	TTL    time.Duration
 	Warner Warner
+	Clock  Clock
 }
 
 // Session keeps a node's lease, carries out its requests, and reports what the
 // store holds.
 type Session struct {
-	SessionConfig
+	Config
 	sink     Sink
 	requests chan core.Request
+	seen     progress
 
 	mu      sync.Mutex
 	lease   int64 // 0 while none is held
@@ -56,11 +63,11 @@
 }
 
 // NewSession returns a session that Run is yet to start.
-func NewSession(c SessionConfig) *Session {
+func NewSession(c Config) *Session {
 	return &Session{
-		SessionConfig: c,
-		requests:      make(chan core.Request, requestRoom),
-		changed:       make(chan struct{}, 1),
+		Config:   c,
+		requests: make(chan core.Request, requestRoom),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
@@ -80,16 +87,17 @@
 func (s *Session) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { s.keepLease(ctx) })
-	group.Go(func() { s.follow(ctx) })
+	group.Go(func() { s.follow(ctx, s.Layout.Prefix, s.loadOwn) })
+	if !s.Layout.inside() {
+		group.Go(func() { s.follow(ctx, s.Layout.Manifest, s.loadManifest) })
+	}
 	group.Go(func() { s.serve(ctx) })
 	group.Wait()
 }
 
 // Leave ends the lease, and with it the announcement and the shards.
 func (s *Session) Leave(ctx context.Context) error {
-	s.mu.Lock()
-	lease := s.lease
-	s.mu.Unlock()
+	lease := s.current()
 	if lease == 0 {
 		return nil
 	}
@@ -99,10 +107,14 @@
 // pause waits before another try and reports whether the context still runs.
 func pause(ctx context.Context, try int) bool {
 	limit := maxPause
-	if try < 4 {
+	if try < 3 {
 		limit = firstPause << try
 	}
-	t := time.NewTimer(limit/2 + rand.N(limit/2))
+	return sleep(ctx, limit/2+rand.N(limit/2))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -115,7 +127,7 @@
 // keepLease grants a lease and renews it, and a new one whenever it has run out.
 func (s *Session) keepLease(ctx context.Context) {
 	for try := 0; ctx.Err() == nil; try++ {
-		start := time.Now()
+		start := s.Clock.Now()
 		lease, err := s.Client.Grant(ctx, s.TTL)
 		if err != nil {
 			if !pause(ctx, try) {
@@ -136,15 +148,8 @@
 // renew returns when the lease has run out or the context has ended.
 func (s *Session) renew(ctx context.Context, lease int64, until time.Time) {
 	wait := s.TTL / renewals
-	for try := 0; ; {
-		t := time.NewTimer(wait - rand.N(wait/8))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return
-		}
-		start := time.Now()
+	for try := 0; sleep(ctx, wait-rand.N(wait/8)); {
+		start := s.Clock.Now()
 		ttl, err := s.Client.KeepAlive(ctx, lease)
 		switch {
 		case err == nil && ttl <= 0:
@@ -152,7 +157,7 @@
 		case err == nil:
 			until, wait, try = start.Add(ttl), s.TTL/renewals, 0
 			s.held(lease, until)
-		case time.Now().After(until) && try > renewals:
+		case s.Clock.Now().After(until) && try > renewals:
 			// Long past its end the store would have to be asked whether the
 			// lease still stands; a new one is simpler and as safe.
 			return
@@ -184,14 +189,18 @@
 	s.sink.Post(&core.LeaseLost{})
 }
 
-// follow reads everything under the prefix and watches it from there on.
-func (s *Session) follow(ctx context.Context) {
+func (s *Session) current() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+// follow reads everything under a prefix and watches it from there on.
+func (s *Session) follow(ctx context.Context, prefix string, load func(context.Context) (int64, error)) {
 	for try := 0; ctx.Err() == nil; try++ {
-		snapshot, revision, err := s.load(ctx)
+		revision, err := load(ctx)
 		if err == nil {
-			s.sink.Post(&core.StoreUp{Up: true})
-			s.sink.Post(snapshot)
-			if s.watch(ctx, revision) > probePeriod {
+			if s.watch(ctx, prefix, revision) > steady {
 				try = 0
 			}
 		}
@@ -205,14 +214,16 @@
 	}
 }
 
-func (s *Session) load(ctx context.Context) (*core.Snapshot, int64, error) {
+// loadOwn reports everything that nodes have written.
+func (s *Session) loadOwn(ctx context.Context) (int64, error) {
+	start := s.Clock.Now()
 	pairs, revision, err := s.Client.Range(ctx, s.Layout.Prefix)
 	if err != nil {
-		return nil, 0, err
+		return 0, err
 	}
 	out := &core.Snapshot{}
 	for _, p := range pairs {
-		e, err := s.Layout.event(Change{Key: string(p.Key), Value: p.Value})
+		e, err := s.Layout.event(Change{Key: p.Key, Value: p.Value})
 		if err != nil {
 			s.Warner.Warn(err)
 			continue
@@ -226,73 +237,62 @@
 			out.Shards = append(out.Shards, e.ShardRecord)
 		}
 	}
-	return out, revision, nil
+	s.sink.Post(&core.StoreUp{Up: true})
+	s.sink.Post(out)
+	if out.Manifest != nil {
+		s.sink.Post(&core.Confirmed{Version: out.Manifest.Version, At: start})
+	}
+	s.seen.reach(revision)
+	return revision, nil
 }
 
-// watch reports changes until the watch breaks, falls behind, or the store stops
-// answering, and returns how long it stood.
-func (s *Session) watch(ctx context.Context, revision int64) time.Duration {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	start := time.Now()
-	seen := &progress{}
-	var group sync.WaitGroup
-	group.Go(func() {
-		defer cancel()
-		err := s.Client.Watch(ctx, s.Layout.Prefix, revision+1, func(c Change, at int64) {
-			s.report(c)
-			seen.reach(at)
-		})
-		if err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
-			s.Warner.Warn(err)
+// loadManifest reports the manifest where it lies outside the nodes' prefix.
+func (s *Session) loadManifest(ctx context.Context) (int64, error) {
+	start := s.Clock.Now()
+	pairs, revision, err := s.Client.Range(ctx, s.Layout.Manifest)
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range pairs {
+		if p.Key == s.Layout.Manifest {
+			s.confirm(Change{Key: p.Key, Value: p.Value}, start)
 		}
-	})
-	seen.reach(revision)
-	s.probe(ctx, seen)
-	cancel()
-	group.Wait()
-	return time.Since(start)
-}
-
-// progress is the revision up to which a watch has reported.
-type progress struct {
-	mu       sync.Mutex
-	revision int64
-}
-
-func (p *progress) reach(revision int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.revision = max(p.revision, revision)
+	}
+	return revision, nil
 }
 
-func (p *progress) at() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.revision
+// confirm reports the manifest that the store held at an instant.
+func (s *Session) confirm(c Change, at time.Time) {
+	e, err := s.Layout.event(c)
+	if err != nil {
+		s.Warner.Warn(err)
+		return
+	}
+	if m, ok := e.(*core.ManifestSeen); ok {
+		s.sink.Post(m)
+		s.sink.Post(&core.Confirmed{Version: m.Manifest.Version, At: at})
+	}
 }
 
-// probe returns when the store does not answer, or has held a manifest for a
-// whole period that the watch has not reported: the connection has gone silent.
-func (s *Session) probe(ctx context.Context, seen *progress) {
-	ticker := time.NewTicker(probePeriod)
-	defer ticker.Stop()
-	missing := int64(0)
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		revision, err := s.Client.Revision(ctx, s.Layout.Manifest())
-		if err != nil {
-			return
-		}
-		if revision > seen.at() && revision == missing {
-			return
+// watch reports changes until the watch breaks or falls behind, and returns how
+// long it stood.
+func (s *Session) watch(ctx context.Context, prefix string, revision int64) time.Duration {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	start := time.Now()
+	if prefix == s.Layout.Prefix {
+		s.seen.use(cancel)
+	}
+	err := s.Client.Watch(ctx, prefix, revision+1, func(c Change, at int64) {
+		s.report(c)
+		if prefix == s.Layout.Prefix {
+			s.seen.reach(at)
 		}
-		missing = revision
+	})
+	if err != nil && ctx.Err() == nil {
+		s.Warner.Warn(err)
 	}
+	return time.Since(start)
 }
 
 func (s *Session) report(c Change) {
@@ -326,12 +326,6 @@
 	}
 }
 
-func (s *Session) current() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lease
-}
-
 func (s *Session) perform(ctx context.Context, r core.Request) {
 	var err error
 	switch r := r.(type) {
@@ -341,12 +335,32 @@
 		err = s.claim(ctx, r)
 	case *core.Release:
 		_, err = s.Client.DeleteValue(ctx, s.Layout.shard(r.Shard), s.claimValue(s.current()))
+	case *core.Verify:
+		err = s.verify(ctx)
 	}
 	if err != nil && ctx.Err() == nil {
 		s.Warner.Warn(err)
 	}
 }
 
+// verify asks the store for its newest manifest. One that the watch should have
+// reported by now shows that its connection has gone silent.
+func (s *Session) verify(ctx context.Context) error {
+	start := s.Clock.Now()
+	pair, err := s.Client.Get(ctx, s.Layout.Manifest)
+	if err != nil {
+		return fmt.Errorf("confirm manifest: %w", err)
+	}
+	if pair == nil {
+		return nil
+	}
+	s.confirm(Change{Key: pair.Key, Value: pair.Value}, start)
+	if s.Layout.inside() {
+		s.seen.check(pair.Revision)
+	}
+	return nil
+}
+
 func (s *Session) announce(ctx context.Context, r *core.Announce) error {
 	lease := s.current()
 	if lease == 0 {
@@ -354,9 +368,12 @@
 	}
 	value, err := json.Marshal(r.Member)
 	if err != nil {
-		return errors.Wrap(err, "encode announcement")
+		return fmt.Errorf("encode announcement: %w", err)
 	}
-	return s.Client.Put(ctx, s.Layout.member(s.Name), value, lease)
+	if err := s.Client.Put(ctx, s.Layout.member(s.Name), value, lease); err != nil {
+		return fmt.Errorf("announce: %w", err)
+	}
+	return nil
 }
 
 // claimValue names the node and the lease that a shard is held under, so that a
@@ -380,7 +397,7 @@
 	if err != nil || !held {
 		pair, rerr := s.Client.Get(ctx, key)
 		if rerr != nil {
-			return errors.CombineErrors(rerr, err)
+			return fmt.Errorf("settle claim: %w", rerr)
 		}
 		held = pair != nil && string(pair.Value) == string(value)
 	}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -1,28 +1,143 @@
 package target
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
+
+	"celeryshelf/io/tcp"
 )
 
+// ErrNotSent says that no byte of a request has left for the target.
+var ErrNotSent = errors.New("request was not sent")
+
+// ErrStale says that an answer belongs to another request on the connection; the
+// right one may follow it.
+var ErrStale = errors.New("answer to another request")
+
 const (
-	dialTimeout = 500 * time.Millisecond
-	idleTimeout = 60 * time.Second
-	// maxIdle keeps the connections of a whole burst; each new one costs the
-	// target about a millisecond.
-	maxIdle = 1024
+	// staleAnswers is how many answers to earlier requests are skipped on one
+	// connection before it is given up.
+	staleAnswers = 2
+	// maxStale bounds the body of an answer that is skipped, in bytes.
+	maxStale = 256 << 10
 )
 
-// NewTransport returns the HTTP/1.1 client side towards the local target. It
-// follows no redirects and never sends a request twice by itself, as long as
-// requests come through Single.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdle,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
+// Verifier checks that an answer belongs to its request; it returns ErrStale for
+// one that belongs to another.
+type Verifier interface {
+	Verify(req *http.Request, res *http.Response) error
+}
+
+// Config holds what a Client is made of.
+type Config struct {
+	Address  netip.AddrPort
+	Verifier Verifier // nil if answers do not name their requests
+}
+
+// Client sends requests to the local target, each of them once.
+type Client struct {
+	Config
+	pool   pool
+	dialer *net.Dialer
+}
+
+// NewClient returns a client.
+func NewClient(c Config) *Client {
+	return &Client{Config: c, dialer: tcp.Dialer()}
+}
+
+// RoundTrip sends a request and returns the head of its answer. After any error
+// but ErrNotSent the target may have run the request.
+func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := req.Context()
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	conn.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	res, err := c.exchange(conn, req)
+	if err != nil {
+		conn.stop()
+		_ = conn.Close()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		if !conn.wrote.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return nil, err
+	}
+	return res, nil
+}
+
+func (c *Client) connect(ctx context.Context) (*connection, error) {
+	if conn := c.pool.take(time.Now()); conn != nil {
+		return conn, nil
+	}
+	raw, err := c.dialer.DialContext(ctx, "tcp", c.Address.String())
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial target: %w", ErrNotSent, err)
+	}
+	conn := &connection{Conn: raw}
+	conn.reader = bufio.NewReader(raw)
+	return conn, nil
+}
+
+// exchange writes the request, beside reading the answer if its body is not at hand.
+func (c *Client) exchange(conn *connection, req *http.Request) (*http.Response, error) {
+	if req.Body == nil || req.ContentLength >= 0 && req.ContentLength <= inlineBody {
+		if err := conn.send(req); err != nil {
+			return nil, err
+		}
+	} else {
+		conn.sending = make(chan error, 1)
+		go func() { conn.sending <- conn.send(req) }()
+	}
+	res, err := c.answer(conn, req)
+	if err != nil {
+		return nil, err
+	}
+	res.Body = &body{ReadCloser: res.Body, conn: conn, pool: &c.pool, keep: keepAlive(res), end: res.ContentLength == 0}
+	return res, nil
+}
+
+// answer reads the head of the answer to a request, past answers to others.
+func (c *Client) answer(conn *connection, req *http.Request) (*http.Response, error) {
+	for range staleAnswers + 1 {
+		res, err := readFinal(conn.reader, req)
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if c.Verifier == nil {
+			return res, nil
+		}
+		err = c.Verifier.Verify(req, res)
+		if err == nil {
+			return res, nil
+		}
+		if !errors.Is(err, ErrStale) || res.Close {
+			return nil, err
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStale)); err != nil {
+			return nil, fmt.Errorf("skip answer: %w", err)
+		}
+	}
+	return nil, ErrStale
+}
+
+// readFinal reads an answer's head and skips interim ones.
+func readFinal(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(r, req)
+		if err != nil || res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, err
+		}
 	}
 }
--- /dev/null
+++ b/io/tcp/dial.go
@@ -0,0 +1,54 @@
+package tcp
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// DialTimeout bounds the set-up of a connection: many round trips inside a
+	// region, and less than the second a client allows for its own.
+	DialTimeout = 500 * time.Millisecond
+	// A connection on which sent data stays unacknowledged for userTimeout, or whose
+	// peer misses probeCount probes a second apart, is closed by the kernel.
+	userTimeout   = 1500 * time.Millisecond
+	probeIdle     = 1 * time.Second
+	probeInterval = 1 * time.Second
+	probeCount    = 2
+)
+
+// Dialer returns a dialer whose connections report a silent peer.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: DialTimeout,
+		Control: Control,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+	}
+}
+
+// ListenConfig returns a configuration whose accepted connections report a silent peer.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{
+		Control: Control,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+	}
+}
+
+// Control bounds how long sent data may stay unacknowledged.
+func Control(_, _ string, c syscall.RawConn) error {
+	var set error
+	err := c.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
