platform, cmd/celerynode: the whole path on the users' platform

Cause: the platform speaks its own names and encodings. Change: platform/ translates configuration, requests, answers, heartbeats and readiness, platform/kv the store's calls; internal/sidecar composes a node of them, with settings that the platform renders from deploy/settings.json. The node's own program links neither the web framework, the trace exporter nor the schema checker. Ruled out: names by deploy/wire.toml; the decoders in platform/ read as plainly without a second set of names.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -51,7 +51,7 @@
 		Action: Forward, Endpoint: c.endpoint.Name, Address: c.endpoint.Node,
 		Deadline: c.deadline,
 		Pass: Pass{
-			Target: c.endpoint.Name, Workspace: c.workspace, Route: c.route, Rank: c.rank,
+			Target: c.endpoint.Name, Workspace: c.workspace, Route: c.route, From: s.self.Service, Rank: c.rank,
 			Budget: c.lent, Timeout: c.deadline.Sub(now), Once: c.once, Repeat: c.identity.Key,
 		},
 	})
@@ -91,8 +91,8 @@
 func (s *State) run(now time.Time, c *call) {
 	c.phase, c.began = running, now
 	s.decide(now, c, Verdict{
-		Action: Run, Endpoint: s.self.Name, Deadline: c.deadline,
-		Pass: Pass{Workspace: c.workspace, Route: c.route, Rank: c.rank, Once: c.once, Repeat: c.identity.Key},
+		Action: Run, Endpoint: s.self.Name, Instance: s.target.last.ID, Deadline: c.deadline,
+		Pass: Pass{From: c.from, Workspace: c.workspace, Route: c.route, Rank: c.rank, Once: c.once, Repeat: c.identity.Key},
 	})
 }
 
--- a/core/call.go
+++ b/core/call.go
@@ -34,6 +34,7 @@
 	route     string
 	service   string
 	workspace string
+	from      string // service beside whose node it entered, if that is another
 	weight    float64
 	rank      admit.Rank
 	deadline  time.Time
@@ -285,6 +286,7 @@
 
 func (s *State) arriveNode(now time.Time, c *call, e *Arrive) {
 	p := &e.Pass
+	c.from = p.From
 	c.route, c.workspace, c.rank, c.once = p.Route, p.Workspace, p.Rank, p.Once
 	c.service, c.weight = s.self.Service, s.weight(p.Workspace)
 	c.deadline = now.Add(p.Timeout)
--- a/core/effect.go
+++ b/core/effect.go
@@ -76,6 +76,7 @@
 	WrongTarget             // meant for another endpoint
 	Isolated                // neither store nor peers can be reached, so keys may be stale
 	BadBody                 // the request ended before its body was whole
+	BodyTooLarge            // the body exceeds the manifest's limit
 )
 
 // Verdict is the decision on one call.
@@ -85,6 +86,7 @@
 	Reason   Reason
 	Ran      Ran
 	Endpoint string
+	Instance string // Run: the target's incarnation, empty if it sends no heartbeats
 	Address  netip.AddrPort
 	Pass     Pass
 	Deadline time.Time
--- a/core/event.go
+++ b/core/event.go
@@ -31,6 +31,7 @@
 	Target    string // name of the endpoint meant to run the call
 	Workspace string
 	Route     string
+	From      string // service beside whose node the call entered the fleet
 	Rank      admit.Rank
 	Budget    int           // extra attempts that the call's tree may still make
 	Timeout   time.Duration // time left
--- a/core/manifest/check.go
+++ b/core/manifest/check.go
@@ -14,15 +14,6 @@
 	MinBurstWindow = 100 * time.Millisecond // burst must cover the rate for this long
 )
 
-// Fault is one broken rule and the place in the document that breaks it.
-type Fault struct {
-	Path string // JSON pointer
-	Rule string
-}
-
-// Error renders the fault as path and rule.
-func (f Fault) Error() string { return f.Path + ": " + f.Rule }
-
 // checker collects faults and the names already taken.
 type checker struct {
 	faults []Fault
--- a/core/text.go
+++ b/core/text.go
@@ -6,7 +6,7 @@
 	QuotaUnavailable: "quota-unavailable", ShedByLevel: "shed", Overloaded: "overloaded",
 	NoEndpoint: "no-endpoint", DeadlinePassed: "deadline", Draining: "draining",
 	BudgetSpent: "budget-spent", AttemptFailed: "attempt-failed", Duplicate: "duplicate",
-	WrongTarget: "wrong-target", Isolated: "isolated", BadBody: "bad-body",
+	WrongTarget: "wrong-target", Isolated: "isolated", BadBody: "bad-body", BodyTooLarge: "body-too-large",
 }
 
 // String returns the reason's name on the wire and in logs.
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -13,7 +13,7 @@
 
 const (
 	actionCount = int(core.Settle) + 1
-	reasonCount = int(core.BadBody) + 1
+	reasonCount = int(core.BodyTooLarge) + 1
 )
 
 // observer turns decisions into metrics and log lines.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -17,7 +17,6 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/document"
 	"celeryshelf/internal/logging"
-	"celeryshelf/internal/settings"
 	"celeryshelf/internal/standalone"
 )
 
@@ -44,7 +43,7 @@
 
 // Code returns the exit code for an error of the command line.
 func Code(err error) int {
-	var faults *document.FaultsError
+	var faults *manifest.FaultsError
 	var usage *usageError
 	switch {
 	case err == nil:
@@ -88,7 +87,7 @@
 		Usage: "run the node beside a target until SIGTERM, then drain and exit",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := settings.Read(c.String("settings"))
+			s, err := document.ReadSettings(c.String("settings"))
 			if err != nil {
 				return err
 			}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -15,6 +15,7 @@
 	"golang.org/x/text/message"
 
 	"celeryshelf/core/manifest"
+	"celeryshelf/internal/settings"
 )
 
 // MaxSize is the largest document that is read, in bytes; the store holds no
@@ -42,21 +43,6 @@
 	return b, nil
 }
 
-// FaultsError lists every fault of one document.
-type FaultsError struct {
-	File   string
-	Faults []manifest.Fault
-}
-
-// Error puts each fault on a line of its own, with file, place and rule.
-func (e *FaultsError) Error() string {
-	lines := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		lines = append(lines, e.File+":"+f.Path+": "+f.Rule)
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Read reads a file and decodes it strictly into out.
 func Read(file string, k Kind, out any) error {
 	info, err := os.Stat(file)
@@ -89,7 +75,7 @@
 	if err := schema.Validate(instance); err != nil {
 		var invalid *jsonschema.ValidationError
 		if errors.As(err, &invalid) {
-			return &FaultsError{File: file, Faults: leaves(invalid)}
+			return &manifest.FaultsError{File: file, Faults: leaves(invalid)}
 		}
 		return fmt.Errorf("validate %s: %w", file, err)
 	}
@@ -100,7 +86,7 @@
 }
 
 func fault(file, rule string) error {
-	return &FaultsError{File: file, Faults: []manifest.Fault{{Path: "/", Rule: rule}}}
+	return &manifest.FaultsError{File: file, Faults: []manifest.Fault{{Path: "/", Rule: rule}}}
 }
 
 func compile(k Kind) (*jsonschema.Schema, error) {
@@ -144,7 +130,19 @@
 		return nil, err
 	}
 	if faults := m.Check(); len(faults) > 0 {
-		return nil, &FaultsError{File: file, Faults: faults}
+		return nil, &manifest.FaultsError{File: file, Faults: faults}
 	}
 	return &m, nil
 }
+
+// ReadSettings reads and checks a node's settings.
+func ReadSettings(file string) (*settings.Settings, error) {
+	s := settings.Defaults()
+	if err := Read(file, Settings, &s); err != nil {
+		return nil, err
+	}
+	if faults := s.Check(); len(faults) > 0 {
+		return nil, &manifest.FaultsError{File: file, Faults: faults}
+	}
+	return &s, nil
+}
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -10,7 +10,7 @@
 func TestDecodeRefusesOversize(t *testing.T) {
 	var m manifest.Manifest
 	err := Decode("big.json", make([]byte, MaxSize+1), Manifest, &m)
-	var faults *FaultsError
+	var faults *manifest.FaultsError
 	if !errors.As(err, &faults) {
 		t.Fatalf("got %v, want a FaultsError", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celeryshelf/core/manifest"
-	"celeryshelf/internal/document"
 )
 
 // Settings describe one node.
@@ -71,21 +70,10 @@
 	}
 }
 
-// Read reads and checks a settings file.
-func Read(file string) (*Settings, error) {
-	s := Defaults()
-	if err := document.Read(file, document.Settings, &s); err != nil {
-		return nil, err
-	}
-	if faults := s.check(); len(faults) > 0 {
-		return nil, &document.FaultsError{File: file, Faults: faults}
-	}
-	return &s, nil
-}
-
 const minLease = 2 * time.Second
 
-func (s *Settings) check() []manifest.Fault {
+// Check returns every broken rule that the schema does not state.
+func (s *Settings) Check() []manifest.Fault {
 	var faults []manifest.Fault
 	add := func(path, rule string, args ...any) {
 		faults = append(faults, manifest.Fault{Path: path, Rule: fmt.Sprintf(rule, args...)})
--- /dev/null
+++ b/internal/settings/sidecar.go
@@ -0,0 +1,153 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"celeryshelf/core/manifest"
+)
+
+// maxSidecar bounds a settings file, in bytes.
+const maxSidecar = 64 << 10
+
+// Sidecar describes a node that serves callers and its target through a front end
+// of the platform's. The file holds one JSON object with exactly these fields.
+type Sidecar struct {
+	Name    string         `json:"name"`
+	Service string         `json:"service"` // of the local target
+	Domain  string         `json:"domain"`
+	Region  string         `json:"region"`
+	Listen  SidecarListen  `json:"listen"`
+	Target  netip.AddrPort `json:"target"`
+	Store   SidecarStore   `json:"store"`
+	// Heartbeat is how often the target says that it is there.
+	Heartbeat manifest.Duration `json:"heartbeat"`
+	// Revoke is the time within which a withdrawn key must stop working.
+	Revoke manifest.Duration `json:"revoke"`
+	// Drain is the time within which a leaving target must get no more work.
+	Drain manifest.Duration `json:"drain"`
+	// Limit is the time between the request to stop and the kill.
+	Limit  manifest.Duration `json:"limit"`
+	Memory int               `json:"memory"` // bytes that the process may use, in MiB
+	Retry  SidecarRetry      `json:"retry"`
+	Log    Log               `json:"log"`
+}
+
+// SidecarListen holds the addresses of a node's sides.
+type SidecarListen struct {
+	Caller    netip.AddrPort `json:"caller"` // callers and the target
+	Node      netip.AddrPort `json:"node"`
+	Control   netip.AddrPort `json:"control"`
+	Heartbeat netip.AddrPort `json:"heartbeat"`
+	Ready     netip.AddrPort `json:"ready"`
+	Metrics   netip.AddrPort `json:"metrics"`
+}
+
+// SidecarStore says where the platform's key-value service is.
+type SidecarStore struct {
+	Address netip.AddrPort    `json:"address"`
+	Prefix  string            `json:"prefix"`
+	Lease   manifest.Duration `json:"lease"`
+}
+
+// SidecarRetry bounds what a service may get beyond the first arrival of each call.
+type SidecarRetry struct {
+	Ratio  float64           `json:"ratio"`  // of the calls for the service
+	Window manifest.Duration `json:"window"` // in which it holds
+	Slack  float64           `json:"slack"`  // arrivals that are free in a window
+}
+
+// ReadSidecar reads and checks a settings file and names every fault.
+func ReadSidecar(file string) (*Sidecar, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	text, err := io.ReadAll(io.LimitReader(f, maxSidecar+1))
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return DecodeSidecar(file, text)
+}
+
+// DecodeSidecar decodes settings strictly. The file's name is for errors only.
+func DecodeSidecar(file string, text []byte) (*Sidecar, error) {
+	if len(text) > maxSidecar {
+		return nil, &manifest.FaultsError{File: file, Faults: []manifest.Fault{
+			{Path: "/", Rule: fmt.Sprintf("must have at most %d bytes", maxSidecar)},
+		}}
+	}
+	s := Sidecar{Log: Log{Level: "info"}}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return nil, &manifest.FaultsError{File: file, Faults: []manifest.Fault{{Path: place(err), Rule: err.Error()}}}
+	}
+	if faults := s.Check(); len(faults) > 0 {
+		return nil, &manifest.FaultsError{File: file, Faults: faults}
+	}
+	return &s, nil
+}
+
+// place returns where decoding failed, as far as the error says so.
+func place(err error) string {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return "/" + kind.Field
+	}
+	return "/"
+}
+
+// Check returns every broken rule.
+func (s *Sidecar) Check() []manifest.Fault {
+	var faults []manifest.Fault
+	add := func(path, rule string, args ...any) {
+		faults = append(faults, manifest.Fault{Path: path, Rule: fmt.Sprintf(rule, args...)})
+	}
+	for _, f := range []struct{ path, value string }{
+		{"/name", s.Name}, {"/service", s.Service}, {"/domain", s.Domain}, {"/store/prefix", s.Store.Prefix},
+	} {
+		if f.value == "" {
+			add(f.path, "must not be empty")
+		}
+	}
+	for _, f := range []struct {
+		path  string
+		value netip.AddrPort
+	}{
+		{"/listen/caller", s.Listen.Caller}, {"/listen/node", s.Listen.Node},
+		{"/listen/control", s.Listen.Control}, {"/listen/heartbeat", s.Listen.Heartbeat},
+		{"/listen/ready", s.Listen.Ready}, {"/listen/metrics", s.Listen.Metrics},
+		{"/target", s.Target}, {"/store/address", s.Store.Address},
+	} {
+		if !f.value.IsValid() || f.value.Addr().IsUnspecified() {
+			add(f.path, "must be an IP address and a port that others can reach")
+		}
+	}
+	for _, f := range []struct {
+		path  string
+		value time.Duration
+	}{
+		{"/store/lease", s.Store.Lease.Duration}, {"/heartbeat", s.Heartbeat.Duration},
+		{"/revoke", s.Revoke.Duration}, {"/drain", s.Drain.Duration}, {"/limit", s.Limit.Duration},
+		{"/retry/window", s.Retry.Window.Duration},
+	} {
+		if f.value <= 0 {
+			add(f.path, "must be greater than 0")
+		}
+	}
+	if s.Memory <= 0 {
+		add("/memory", "must be greater than 0")
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
+		add("/retry", "ratio and slack must not be less than 0")
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/sidecar/doc.go
@@ -0,0 +1,2 @@
+// Package sidecar puts a node together that lives on the users' platform.
+package sidecar
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,96 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"celeryshelf/core"
+	"celeryshelf/core/member"
+	"celeryshelf/internal/agent"
+	"celeryshelf/internal/logging"
+	"celeryshelf/internal/relay"
+	"celeryshelf/internal/settings"
+	"celeryshelf/io/caller"
+	"celeryshelf/io/store"
+	"celeryshelf/io/target"
+	"celeryshelf/platform"
+	"celeryshelf/platform/kv"
+)
+
+const (
+	// memoryShare of what the process may use is where the collector starts to
+	// work harder; the rest is for sockets' unread bytes.
+	memoryShare = 0.6
+	// gcPercent keeps the heap small: memory is priced at its peak and processor
+	// time hardly at all.
+	gcPercent = 50
+	// revokeMargin is taken off the time within which a withdrawn key must stop
+	// working, for calls that wait on their way to a target.
+	revokeMargin = 1200 * time.Millisecond
+	// leaveGrace is how long a leaving node lets calls in: the platform asks twice,
+	// a second apart, before its clients go elsewhere.
+	leaveGrace = 2200 * time.Millisecond
+	// leaveMargin before the kill, calls that still run are given up.
+	leaveMargin = 400 * time.Millisecond
+	readTimeout = 5 * time.Second
+)
+
+// untraced starts no spans.
+type untraced struct{ relay.Untraced }
+
+// Close does nothing.
+func (untraced) Close(context.Context) error { return nil }
+
+// Run runs a node until the context ends and it has drained.
+func Run(ctx context.Context, s settings.Sidecar, _ string) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+	lines := logging.NewWriter(os.Stdout)
+	written := make(chan struct{})
+	writing, stopWriting := context.WithCancel(context.Background())
+	go func() { defer close(written); lines.Run(writing) }()
+	defer func() { stopWriting(); <-written }()
+	log, err := logging.New(lines, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	dialect := platform.Dialect{Service: s.Service}
+	a := agent.New(work, agent.Config{
+		Self: member.Member{
+			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
+			Node: s.Listen.Node, Control: s.Listen.Control,
+		},
+		Heartbeats: true, Revoke: s.Revoke.Duration - revokeMargin, Log: log, Tracer: untraced{},
+		Store:   kv.NewClient(kv.Config{Address: s.Store.Address}),
+		Layout:  store.Layout{Prefix: s.Store.Prefix, Manifest: platform.ConfigKey, Codec: platform.Codec{}},
+		Lease:   s.Store.Lease.Duration,
+		Dialect: func(*caller.Router) relay.Dialect { return dialect },
+		Target:  target.Config{Address: s.Target, Verifier: dialect},
+		Grace:   leaveGrace, Limit: s.Limit.Duration - leaveMargin,
+	})
+	a.Add(agent.Side{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.Calls(core.FromEither))})
+	registry := platform.Registry{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
+	a.Add(agent.Side{Name: "heartbeats", Address: s.Listen.Heartbeat, Server: server(registry.Handler())})
+	a.Add(agent.Side{Name: "prober", Address: s.Listen.Ready, Server: server(platform.Readiness(a))})
+	a.Add(agent.Side{Name: "metrics", Address: s.Listen.Metrics, Server: server(metricsHandler())})
+	return a.Run(ctx)
+}
+
+func server(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readTimeout}
+}
+
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, false)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/version/doc.go
@@ -0,0 +1,2 @@
+// Package version names the build.
+package version
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,24 @@
+package version
+
+import "runtime/debug"
+
+// String returns the revision that the program was built from, as far as the
+// build recorded it.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	revision, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			revision = s.Value
+		case "vcs.modified":
+			if s.Value == "true" {
+				changed = "+changes"
+			}
+		}
+	}
+	return revision + changed + " " + info.GoVersion
+}
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -34,6 +34,7 @@
 	core.WrongTarget:      http.StatusMisdirectedRequest,
 	core.Isolated:         http.StatusServiceUnavailable,
 	core.BadBody:          http.StatusBadRequest,
+	core.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 }
 
 // Refuser writes refusals to callers and to the local target.
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -19,6 +19,7 @@
 	headerTarget    = "Celery-Target"
 	headerWorkspace = "Celery-Workspace"
 	headerRoute     = "Celery-Route"
+	headerFrom      = "Celery-From"
 	headerRank      = "Celery-Rank"
 	headerBudget    = "Celery-Budget"
 	headerTimeout   = "Celery-Timeout"
@@ -43,6 +44,7 @@
 	h[headerTarget] = []string{p.Target}
 	h[headerWorkspace] = []string{p.Workspace}
 	h[headerRoute] = []string{p.Route}
+	h[headerFrom] = []string{p.From}
 	h[headerRank] = []string{formatRank(p.Rank)}
 	h[headerBudget] = []string{strconv.Itoa(p.Budget)}
 	h[headerTimeout] = []string{p.Timeout.String()}
@@ -60,6 +62,7 @@
 		Target:    h.Get(headerTarget),
 		Workspace: h.Get(headerWorkspace),
 		Route:     h.Get(headerRoute),
+		From:      h.Get(headerFrom),
 		Once:      h.Get(headerOnce) == "1",
 	}
 	var err error
