--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,12 +12,14 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"celeryshelf/internal/standin"
+	platform "celeryshelf/platform/standin"
 )
 
 func main() {
@@ -36,6 +39,24 @@
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
 				Action: target,
 			},
+			{
+				Name: "metadata", Usage: "serve the users' platform's metadata store from memory",
+				Flags:  []cli.Flag{listenFlag()},
+				Action: metadata,
+			},
+			{
+				Name: "endpoint", Usage: "serve an endpoint of the users' platform described by a JSON file",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
+				Action: endpoint,
+			},
+			{
+				Name: "put", Usage: "send a file and print the status",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "url", Required: true},
+					&cli.StringFlag{Name: "file", Required: true},
+				},
+				Action: put,
+			},
 			{
 				Name: "baseline", Usage: "serve a plain node described by a JSON file, to measure against",
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
@@ -48,6 +69,9 @@
 					&cli.StringFlag{Name: "key", Usage: "`KEY` to present"},
 					&cli.StringFlag{Name: "method", Value: http.MethodGet},
 					&cli.StringFlag{Name: "path", Required: true},
+					&cli.StringFlag{Name: "host", Usage: "`HOST` to name"},
+					&cli.StringFlag{Name: "body", Usage: "`TEXT` to send"},
+					&cli.StringSliceFlag{Name: "header", Usage: "`NAME:VALUE` to send"},
 					&cli.StringFlag{Name: "root", Usage: "name of the root call", Value: "r1"},
 					&cli.StringFlag{Name: "idempotency", Usage: "Idempotency-Key"},
 				},
@@ -117,11 +141,17 @@
 }
 
 func call(ctx context.Context, c *cli.Command) error {
-	req, err := http.NewRequestWithContext(ctx, c.String("method"), "http://"+c.String("to")+c.String("path"), nil)
+	url := "http://" + c.String("to") + c.String("path")
+	req, err := http.NewRequestWithContext(ctx, c.String("method"), url, strings.NewReader(c.String("body")))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
+	req.Host = c.String("host")
 	req.Header.Set(standin.RootHeader, c.String("root"))
+	for _, h := range c.StringSlice("header") {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Set(name, value)
+	}
 	if c.String("key") != "" {
 		req.Header.Set("Authorization", "Bearer "+c.String("key"))
 	}
@@ -137,3 +167,41 @@
 	_, err = os.Stdout.ReadFrom(res.Body)
 	return err
 }
+
+func metadata(ctx context.Context, c *cli.Command) error {
+	at, err := netip.ParseAddrPort(c.String("listen"))
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	s := platform.NewStore()
+	go s.Expire(ctx.Done())
+	return serve(ctx, at, s)
+}
+
+func endpoint(ctx context.Context, c *cli.Command) error {
+	var config platform.EndpointConfig
+	if err := readConfig(c, &config); err != nil {
+		return err
+	}
+	e := platform.NewEndpoint(config)
+	go e.Run(ctx)
+	return serve(ctx, config.Listen, e)
+}
+
+func put(ctx context.Context, c *cli.Command) error {
+	text, err := os.ReadFile(c.String("file"))
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.String("url"), bytes.NewReader(text))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("put: %w", err)
+	}
+	_ = res.Body.Close()
+	fmt.Println(res.StatusCode)
+	return nil
+}
--- a/core/event.go
+++ b/core/event.go
@@ -97,6 +97,11 @@
 // Tick says that time has passed.
 type Tick struct{}
 
+// Tuned says that settings have changed.
+type Tuned struct {
+	Revoke time.Duration // see Settings
+}
+
 // Drain says that the node is to leave.
 type Drain struct{}
 
@@ -190,6 +195,7 @@
 func (*Finish) event()       {}
 func (*Cancel) event()       {}
 func (*Tick) event()         {}
+func (*Tuned) event()        {}
 func (*Drain) event()        {}
 func (*LeaseHeld) event()    {}
 func (*LeaseLost) event()    {}
--- a/core/state.go
+++ b/core/state.go
@@ -105,6 +105,8 @@
 		s.receive(now, e)
 	case *PeerReach:
 		s.reach(now, e)
+	case *Tuned:
+		s.revoke = e.Revoke
 	case *Drain:
 		s.drain(now)
 	case *TargetSeen:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,6 +31,8 @@
 	// settlePoll is how often a draining node looks whether calls still run.
 	settlePoll   = 50 * time.Millisecond
 	closeTimeout = 2 * time.Second
+	// byeTimeout bounds the last call to the store; what it ends expires anyway.
+	byeTimeout = 500 * time.Millisecond
 )
 
 // Tracer starts spans and exports them.
@@ -132,6 +134,9 @@
 	return a.loop.Inspect(ctx, f)
 }
 
+// Post hands an event to the control loop.
+func (a *Agent) Post(e core.Event) { a.loop.Post(e) }
+
 // SentBytes returns the bytes of control messages sent.
 func (a *Agent) SentBytes() uint64 { return a.sent.Get() }
 
@@ -209,21 +214,24 @@
 	a.leaving.Store(true)
 	a.loop.Post(&core.Drain{})
 	time.Sleep(a.Grace)
+	err := a.finish(ctx)
+	bye, cancelBye := context.WithTimeout(context.Background(), byeTimeout)
+	defer cancelBye()
+	if err := a.session.Leave(bye); err != nil {
+		a.observer.Warn(err)
+	}
+	return err
+}
+
+// finish closes the sides once no call is in progress.
+func (a *Agent) finish(ctx context.Context) error {
 	if err := a.shutdown(ctx, true); err != nil {
 		return err
 	}
 	if err := a.settle(ctx); err != nil {
 		return err
 	}
-	if err := a.shutdown(ctx, false); err != nil {
-		return err
-	}
-	bye, cancelBye := context.WithTimeout(ctx, closeTimeout)
-	defer cancelBye()
-	if err := a.session.Leave(bye); err != nil {
-		a.observer.Warn(err)
-	}
-	return nil
+	return a.shutdown(ctx, false)
 }
 
 // shutdown closes the sides towards callers, or the others.
--- /dev/null
+++ b/internal/script/doc.go
@@ -0,0 +1,3 @@
+// Package script runs whole sessions of a program in tests, with the stand-ins as
+// processes of their own.
+package script
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -96,6 +96,23 @@
 	return &s, nil
 }
 
+// SidecarFixed holds the settings that a running node cannot change.
+type SidecarFixed struct {
+	Name, Service, Domain, Region string
+	Listen                        SidecarListen
+	Target                        netip.AddrPort
+	Store                         SidecarStore
+	Memory                        int
+}
+
+// Fixed returns the settings that a running node cannot change.
+func (s *Sidecar) Fixed() SidecarFixed {
+	return SidecarFixed{
+		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
+		Listen: s.Listen, Target: s.Target, Store: s.Store, Memory: s.Memory,
+	}
+}
+
 // place returns where decoding failed, as far as the error says so.
 func place(err error) string {
 	var kind *json.UnmarshalTypeError
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -35,8 +35,9 @@
 	// leaveGrace is how long a leaving node lets calls in: the platform asks twice,
 	// a second apart, before its clients go elsewhere.
 	leaveGrace = 2200 * time.Millisecond
-	// leaveMargin before the kill, calls that still run are given up.
-	leaveMargin = 400 * time.Millisecond
+	// leaveShare of the time until the kill, calls that still run are given up: the
+	// platform's promise to callers ends there.
+	leaveShare = 5.0 / 6
 	readTimeout = 5 * time.Second
 )
 
@@ -47,7 +48,7 @@
 func (untraced) Close(context.Context) error { return nil }
 
 // Run runs a node until the context ends and it has drained.
-func Run(ctx context.Context, s settings.Sidecar, _ string) error {
+func Run(ctx context.Context, s settings.Sidecar, file string) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
 	lines := logging.NewWriter(os.Stdout)
@@ -67,22 +68,35 @@
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 			Node: s.Listen.Node, Control: s.Listen.Control,
 		},
-		Heartbeats: true, Revoke: s.Revoke.Duration - revokeMargin, Log: log, Tracer: untraced{},
+		Heartbeats: true, Revoke: trust(s), Log: log, Tracer: untraced{},
 		Store:   kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:  store.Layout{Prefix: s.Store.Prefix, Manifest: platform.ConfigKey, Codec: platform.Codec{}},
 		Lease:   s.Store.Lease.Duration,
 		Dialect: func(*caller.Router) relay.Dialect { return dialect },
 		Target:  target.Config{Address: s.Target, Verifier: dialect},
-		Grace:   leaveGrace, Limit: s.Limit.Duration - leaveMargin,
+		Grace:   leaveGrace, Limit: time.Duration(leaveShare * float64(s.Limit.Duration)),
 	})
 	a.Add(agent.Side{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.Calls(core.FromEither))})
 	registry := platform.Registry{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
 	a.Add(agent.Side{Name: "heartbeats", Address: s.Listen.Heartbeat, Server: server(registry.Handler())})
 	a.Add(agent.Side{Name: "prober", Address: s.Listen.Ready, Server: server(platform.Readiness(a))})
 	a.Add(agent.Side{Name: "metrics", Address: s.Listen.Metrics, Server: server(metricsHandler())})
+	r := reloader{file: file, inForce: s, node: applied{a}, log: log}
+	go r.run(work)
 	return a.Run(ctx)
 }
 
+// trust returns how old the proof of the configuration may be for keyed calls.
+func trust(s settings.Sidecar) time.Duration { return s.Revoke.Duration - revokeMargin }
+
+// applied hands changed settings to a running node.
+type applied struct{ *agent.Agent }
+
+// Apply puts in force what a running node can change.
+func (a applied) Apply(s settings.Sidecar) {
+	a.Post(&core.Tuned{Revoke: trust(s)})
+}
+
 func server(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readTimeout}
 }
--- /dev/null
+++ b/internal/sidecar/reload.go
@@ -0,0 +1,74 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"celeryshelf/internal/settings"
+)
+
+// lookEvery is how often the settings file is read for a change that no signal
+// has announced.
+const lookEvery = 2 * time.Second
+
+// applier takes in settings that have changed.
+type applier interface {
+	Apply(s settings.Sidecar)
+}
+
+// reloader follows the settings file. A file that cannot be used leaves the
+// settings in force and is reported once.
+type reloader struct {
+	file    string
+	inForce settings.Sidecar
+	refused string // the last error reported
+	node    applier
+	log     *slog.Logger
+}
+
+// run works until the context ends.
+func (r *reloader) run(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hangup:
+			r.log.Info("reload", "cause", "SIGHUP")
+			r.look()
+		case <-ticker.C:
+			r.look()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look reads the file and applies what has changed.
+func (r *reloader) look() {
+	next, err := settings.ReadSidecar(r.file)
+	if err != nil {
+		if err.Error() != r.refused {
+			r.refused = err.Error()
+			r.log.Warn("settings-refused", "error", err)
+		}
+		return
+	}
+	r.refused = ""
+	if reflect.DeepEqual(*next, r.inForce) {
+		return
+	}
+	if fixed := r.inForce.Fixed(); fixed != next.Fixed() {
+		r.log.Warn("settings-need-restart", "name", next.Name)
+	}
+	r.inForce = *next
+	r.node.Apply(*next)
+	r.log.Info("settings-reloaded", "revoke", next.Revoke, "loglevel", next.Log.Level)
+}
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -168,21 +168,14 @@
 	}
 }
 
-func (s *Store) grant(in leaseIn) (leaseOut, bool) {
-	s.nextID++
+func (s *Store) grantOf(in leaseIn) (leaseOut, bool) {
 	ttl := time.Duration(in.TTL) * time.Second
-	s.leases[s.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
-	return leaseOut{ID: s.nextID, TTL: in.TTL}, true
+	return leaseOut{ID: s.grant(ttl), TTL: in.TTL}, true
 }
 
-func (s *Store) keepAlive(in leaseIn) (keepAliveOut, bool) {
-	l, ok := s.leases[in.ID]
-	if !ok {
-		return keepAliveOut{Result: leaseOut{ID: in.ID}}, false
-	}
-	l.expires = time.Now().Add(l.ttl)
-	s.leases[in.ID] = l
-	return keepAliveOut{Result: leaseOut{ID: in.ID, TTL: int64(l.ttl / time.Second)}}, false
+func (s *Store) keepAliveOf(in leaseIn) (keepAliveOut, bool) {
+	ttl, _ := s.keepAlive(in.ID)
+	return keepAliveOut{Result: leaseOut{ID: in.ID, TTL: int64(ttl / time.Second)}}, false
 }
 
 func (s *Store) revoke(in leaseIn) (headerOut, bool) {
--- /dev/null
+++ b/internal/standin/items.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Item is one key as the store holds it, or the end of one.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64 // of the last write
+	Created  int64
+	Lease    int64
+	Deleted  bool
+}
+
+// Condition holds if a key was last written at a revision, 0 if it is absent.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+func (s *Store) item(key string) Item {
+	e := s.entries[key]
+	return Item{Key: key, Value: e.value, Revision: e.mod, Created: e.created, Lease: e.lease}
+}
+
+// Get returns a key's item, whether it exists, and the store's revision.
+func (s *Store) Get(key string) (Item, bool, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	_, ok := s.entries[key]
+	return s.item(key), ok, s.revision
+}
+
+// List returns up to limit items under a prefix after a key, and whether there
+// are more.
+func (s *Store) List(prefix, after string, limit int) (items []Item, more bool, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if len(items) == limit {
+			return items, true, s.revision
+		}
+		items = append(items, s.item(key))
+	}
+	return items, false, s.revision
+}
+
+// Since returns what changed under a prefix after a revision, and a channel that
+// is closed at the next change. It reports false where the history is gone.
+func (s *Store) Since(prefix string, after int64) (events []Item, at int64, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.compacted {
+		return nil, s.revision, s.changed, false
+	}
+	for _, c := range s.history {
+		if c.revision <= after || !strings.HasPrefix(c.key, prefix) {
+			continue
+		}
+		events = append(events, Item{Key: c.key, Value: c.value, Revision: c.revision, Deleted: c.deleted})
+	}
+	return events, s.revision, s.changed, true
+}
+
+// Commit carries out writes and deletions if every condition holds. Otherwise it
+// returns the present items of the conditions, or false for a lease that has ended.
+func (s *Store) Commit(expect []Condition, writes []Item, remove []string) (at int64, failed []Item, leased bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, c := range expect {
+		if s.entries[c.Key].mod != c.Revision {
+			return s.revision, s.conditions(expect), true
+		}
+	}
+	for _, w := range writes {
+		if _, ok := s.leases[w.Lease]; !ok && w.Lease != 0 {
+			return s.revision, nil, false
+		}
+	}
+	for _, w := range writes {
+		s.set(w.Key, w.Value, w.Lease)
+	}
+	for _, key := range remove {
+		s.remove(key)
+	}
+	return s.revision, nil, true
+}
+
+func (s *Store) conditions(expect []Condition) []Item {
+	found := []Item{}
+	for _, c := range expect {
+		if _, ok := s.entries[c.Key]; ok {
+			found = append(found, s.item(c.Key))
+		}
+	}
+	return found
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.history = s.revision, nil
+	s.wake()
+}
+
+// Grant creates a lease.
+func (s *Store) Grant(ttl time.Duration) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grant(ttl)
+}
+
+func (s *Store) grant(ttl time.Duration) int64 {
+	s.nextID++
+	s.leases[s.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return s.nextID
+}
+
+// KeepAlive renews a lease and reports its time to live, or that it has ended.
+func (s *Store) KeepAlive(id int64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.keepAlive(id)
+}
+
+func (s *Store) keepAlive(id int64) (time.Duration, bool) {
+	l, ok := s.leases[id]
+	if !ok {
+		return 0, false
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return l.ttl, true
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(id)
+}
+
+// Call counts a call and returns the faults in force.
+func (s *Store) Call() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.faults
+}
+
+// LoseAnswer reports whether the answer to the present write is to be lost.
+func (s *Store) LoseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Lose == 0 {
+		return false
+	}
+	s.faults.Lose--
+	return true
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -44,6 +44,8 @@
 	revision int64
 	entries  map[string]entry
 	history  []change
+	// compacted is the revision up to which the history is gone.
+	compacted int64
 	leases   map[int64]lease
 	nextID   int64
 	faults   Faults
@@ -89,10 +91,7 @@
 		}
 		return
 	}
-	s.mu.Lock()
-	s.calls++
-	faults := s.faults
-	s.mu.Unlock()
+	faults := s.Call()
 	time.Sleep(faults.Delay)
 	if faults.Away {
 		http.Error(w, "away", http.StatusServiceUnavailable)
@@ -106,9 +105,9 @@
 	case "kv/txn":
 		answer(s, w, r, s.txn)
 	case "lease/grant":
-		answer(s, w, r, s.grant)
+		answer(s, w, r, s.grantOf)
 	case "lease/keepalive":
-		answer(s, w, r, s.keepAlive)
+		answer(s, w, r, s.keepAliveOf)
 	case "lease/revoke":
 		answer(s, w, r, s.revoke)
 	case "watch":
@@ -136,12 +135,8 @@
 	s.mu.Lock()
 	s.expire()
 	out, wrote := f(in)
-	lose := wrote && s.faults.Lose > 0
-	if lose {
-		s.faults.Lose--
-	}
 	s.mu.Unlock()
-	if lose {
+	if wrote && s.LoseAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	_ = json.NewEncoder(w).Encode(out)
