core: workspaces without a rate are not held to one

Cause: a rate of 0 means no limit on the platform; the holder divided by it and every keyed call was refused.

--- a/core/call.go
+++ b/core/call.go
@@ -223,7 +223,7 @@
 
 // charge takes a token of the workspace's allowance before the call goes on.
 func (s *State) charge(now time.Time, c *call) {
-	if c.workspace == "" {
+	if s.config.limited(c.workspace) == nil {
 		s.dispatch(now, c, "")
 		return
 	}
--- a/core/config.go
+++ b/core/config.go
@@ -97,6 +97,14 @@
 	return c
 }
 
+// limited returns the workspace of that name if it has a rate to be held to.
+func (c *config) limited(name string) *manifest.Workspace {
+	if w := c.workspaces[name]; w != nil && w.Rate > 0 {
+		return w
+	}
+	return nil
+}
+
 func allowance(w *manifest.Workspace) quota.Allowance {
 	return quota.Allowance{Rate: w.Rate, Burst: w.Burst}
 }
@@ -140,12 +148,19 @@
 // declare carries the manifest's allowances to the quota's parts.
 func (s *State) declare(now time.Time) {
 	for _, w := range s.config.workspaces {
-		s.holder.Declare(w.Name, allowance(w))
+		if s.config.limited(w.Name) != nil {
+			s.holder.Declare(w.Name, allowance(w))
+		}
 	}
-	gone := s.holder.Keep(func(name string) bool { return s.config.workspaces[name] != nil })
+	gone := s.holder.Keep(func(name string) bool { return s.config.limited(name) != nil })
 	for _, id := range gone {
-		if c, ok := s.calls[CallID(id)]; ok {
+		c, ok := s.calls[CallID(id)]
+		switch {
+		case !ok:
+		case s.config.workspaces[c.workspace] == nil:
 			s.refuse(now, c, UnknownKey)
+		default:
+			s.dispatch(now, c, "") // its limit has been lifted
 		}
 	}
 	for _, shard := range s.owner.Shards() {
--- a/core/store.go
+++ b/core/store.go
@@ -107,7 +107,7 @@
 
 // declared reports whether the manifest in force has such a shard.
 func (s *State) declared(shard quota.Shard) bool {
-	w := s.config.workspaces[shard.Workspace]
+	w := s.config.limited(shard.Workspace)
 	return w != nil && allowance(w).Shards() == shard.Count
 }
 
@@ -131,6 +131,9 @@
 	}
 	for i := range s.config.source.Manifest.Workspaces {
 		w := &s.config.source.Manifest.Workspaces[i]
+		if w.Rate == 0 {
+			continue
+		}
 		n := allowance(w).Shards()
 		for k := range n {
 			s.claimOne(now, quota.Shard{Workspace: w.Name, Index: k, Count: n})
