--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -71,6 +71,9 @@
 	return Stats{Limit: g.limit, Running: g.running, Queued: len(g.queue), Service: g.service}
 }
 
+// Limit returns how many calls may run at once, the start of the target apart.
+func (g *Gate) Limit() int { return int(g.limit) }
+
 // Level returns the admission level of a workspace at this target.
 func (g *Gate) Level(workspace string) Level {
 	if h, ok := g.byName[workspace]; ok {
@@ -108,7 +111,7 @@
 		g.start(h)
 		return Admitted, Item{}
 	}
-	if len(g.queue) < max(minQueue, int(g.limit*queueShare)) {
+	if len(g.queue) < g.room() {
 		g.push(it, h)
 		return Queued, Item{}
 	}
@@ -122,6 +125,15 @@
 	return Queued, evicted
 }
 
+// room returns how many calls may wait. Where the target declares its slots, as
+// many may as it runs: they wait for about one service time.
+func (g *Gate) room() int {
+	if g.slots > 0 {
+		return g.slots
+	}
+	return max(minQueue, int(g.limit*queueShare))
+}
+
 // Doomed reports whether too little time is left for the usual service time.
 func (g *Gate) Doomed(now, deadline time.Time) bool {
 	left := deadline.Sub(now)
@@ -166,8 +178,8 @@
 	return g.take(len(g.queue) - 1), true
 }
 
-// Declare takes in how many calls the target says it runs at once, 0 for
-// nothing. The adaptive limit then starts from there and never exceeds it.
+// Declare takes in how many calls the target says it runs at once, 0 for nothing.
+// That is the limit then, and nothing has to be found out.
 func (g *Gate) Declare(slots int) {
 	if slots == g.slots {
 		return
@@ -221,7 +233,9 @@
 // Turn closes windows that are due.
 func (g *Gate) Turn(now time.Time) {
 	g.drained = g.drained || len(g.queue) == 0
-	g.limiter.turn(now)
+	if g.slots == 0 {
+		g.limiter.turn(now)
+	}
 	allowed := float64(max(1, g.allowed(now)))
 	rate := 0.0
 	if g.service > 0 {
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -90,6 +90,12 @@
 
 func (s *State) run(now time.Time, c *call) {
 	c.phase, c.began = running, now
+	if s.plans {
+		s.planning.learner.Began(now, c.route)
+	}
+	if c.name != "" {
+		s.named[c.name] = c
+	}
 	s.decide(now, c, Verdict{
 		Action: Run, Endpoint: s.self.Name, Instance: s.target.last.ID, Deadline: c.deadline,
 		Pass: Pass{From: c.from, Workspace: c.workspace, Route: c.route, Rank: c.rank, Once: c.once, Repeat: c.identity.Key},
@@ -145,6 +151,12 @@
 	if redirects(why) {
 		return true
 	}
+	if s.plans {
+		// Where nothing has arrived at a target, another attempt is none of the
+		// arrivals that are bounded.
+		reached := cause == Shed || c.ran != RanNo
+		return !reached || s.allowance.Spend(now, c.service)
+	}
 	if c.identity.Key != 0 && cause == Rejected {
 		return false // the identity's home has spoken
 	}
@@ -231,6 +243,9 @@
 
 func (s *State) completion(now time.Time, c *call, shed, well bool) admit.Completion {
 	total := now.Sub(c.began)
+	if s.plans {
+		s.planning.learner.Ended(now, c.route, total, well)
+	}
 	blocked := c.blocked
 	if c.open > 0 {
 		blocked += now.Sub(c.idle)
--- a/core/call.go
+++ b/core/call.go
@@ -29,6 +29,7 @@
 // call is one call that this node takes part in.
 type call struct {
 	id        CallID
+	name      string // the sender's name for it
 	origin    Origin
 	phase     phase
 	route     string
@@ -81,6 +82,9 @@
 // end removes a call and settles with its parent.
 func (s *State) end(now time.Time, c *call, ok bool) {
 	delete(s.calls, c.id)
+	if s.named[c.name] == c {
+		delete(s.named, c.name)
+	}
 	s.free = append(s.free, c)
 	if c.origin == FromCaller || c.origin == FromEither {
 		s.ratio.Return(c.budget)
@@ -117,10 +121,12 @@
 // arrive takes in a new call from any side.
 func (s *State) arrive(now time.Time, e *Arrive) {
 	c := s.newCall(e.Call)
-	c.origin, c.repeat, c.request = e.Origin, e.Replayable, e.Request
+	c.origin, c.repeat, c.request, c.name = e.Origin, e.Replayable, e.Request, e.ID
 	switch e.Origin {
-	case FromCaller, FromEither:
+	case FromCaller:
 		s.arriveCaller(now, c, e)
+	case FromEither:
+		s.arriveEither(now, c, e)
 	case FromTarget:
 		s.arriveTarget(now, c, e)
 	case FromNode:
@@ -181,13 +187,29 @@
 		c.budget = s.ratio.Draw(now, s.config.source.Manifest.Retries)
 	}
 	s.identify(c, e.Repeat)
-	if c.rank.Score() < s.levels.Level(now, c.route, c.workspace) {
+	if !s.keeps(now, c, e) {
 		s.refuse(now, c, ShedByLevel)
 		return
 	}
 	s.charge(now, c)
 }
 
+// keeps reports whether overload lets a call in.
+func (s *State) keeps(now time.Time, c *call, e *Arrive) bool {
+	if !s.plans {
+		return c.rank.Score() >= s.levels.Level(now, c.route, c.workspace)
+	}
+	if !e.Keyed && s.planning.learner.Running() {
+		// Without a key this is a call by the local target for one that it runs,
+		// which was let in with its whole tree.
+		s.planning.learner.Called(now, c.route)
+		return true
+	}
+	s.planning.meter.Offer(c.route, c.rank.Class)
+	s.allowance.Called(now, c.service)
+	return s.planned(now, c)
+}
+
 // rankHash draws a rank from the identity of a root call, the same at whichever
 // node it enters. The salt keeps callers from choosing identities that rank high.
 func (s *State) rankHash(seed uint64) uint16 {
@@ -238,6 +260,37 @@
 	s.ask(now)
 }
 
+// arriveEither tells calls of the local target from those of callers: they have
+// no key, and their names tell what they are made for.
+func (s *State) arriveEither(now time.Time, c *call, e *Arrive) {
+	p := s.named[e.ParentID]
+	if e.Keyed || p == nil || p.phase != running || !s.openRoute(e.Route) {
+		s.arriveCaller(now, c, e)
+		return
+	}
+	if s.resolve(now, c, e) == nil {
+		return
+	}
+	s.adopted(now, c, p)
+	c.weight = s.config.meanRate
+	s.planning.learner.CalledBy(now, p.route, c.route)
+	s.dispatch(now, c, "")
+}
+
+// adopted makes a call the child of one that runs at the local target.
+func (s *State) adopted(now time.Time, c, p *call) {
+	if p.open == 0 {
+		p.idle = now
+	}
+	p.open++
+	c.parent, c.loan = p.id, p.budget.Lend()
+	c.budget = retry.NewBudget(c.loan)
+	c.rank = p.rank.Child()
+	if p.deadline.Before(c.deadline) {
+		c.deadline = p.deadline
+	}
+}
+
 func (s *State) arriveTarget(now time.Time, c *call, e *Arrive) {
 	p, ok := s.calls[e.Parent]
 	if !ok || p.phase != running {
@@ -270,16 +323,8 @@
 		s.refuse(now, c, BudgetSpent)
 		return
 	}
-	if p.open == 0 {
-		p.idle = now
-	}
-	p.open++
-	c.parent, c.loan = p.id, p.budget.Lend()
-	c.budget = retry.NewBudget(c.loan)
-	c.workspace, c.weight, c.rank = p.workspace, p.weight, p.rank.Child()
-	if p.deadline.Before(c.deadline) {
-		c.deadline = p.deadline
-	}
+	s.adopted(now, c, p)
+	c.workspace, c.weight = p.workspace, p.weight
 	s.identify(c, e.Repeat)
 	s.dispatch(now, c, "")
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -155,6 +155,7 @@
 	ManifestRefused
 	TargetOpened
 	TargetClosed
+	Planned
 )
 
 // Notice is something operators want in the log.
@@ -163,4 +164,5 @@
 	Peer    string
 	Shard   quota.Shard
 	Version uint64
+	Detail  string
 }
--- a/core/event.go
+++ b/core/event.go
@@ -7,6 +7,7 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
+	"celeryshelf/core/retry"
 )
 
 // CallID names a call at one node; it is the span id that the call's hop has.
@@ -53,7 +54,8 @@
 	Repeat     uint64          // digest of the Idempotency-Key, 0 if none
 	Timeout    time.Duration   // time the sender allows, 0 if it did not say
 	Replayable bool            // the request can be sent again
-	ID         string          // the sender's name for the request, for logs
+	ID         string          // the sender's name for the request
+	ParentID   string          // FromEither: name of the request it is made for, if it tells
 	Pass       Pass            // FromNode: what the sending node passed on
 }
 
@@ -99,7 +101,8 @@
 
 // Tuned says that settings have changed.
 type Tuned struct {
-	Revoke time.Duration // see Settings
+	Revoke  time.Duration // see Settings
+	Retries retry.Bound   // see Settings
 }
 
 // Drain says that the node is to leave.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -34,6 +34,9 @@
 	s.overdueRecords(now)
 	s.tickQuota(now)
 	s.verify(now)
+	if s.plans {
+		s.report(now)
+	}
 	if !now.Before(s.due.sync) {
 		s.due.sync = now.Add(s.jitter(tickSync))
 		s.gossip(now)
@@ -59,6 +62,7 @@
 }
 
 func (s *State) sweep(now time.Time) {
+	s.allowance.Share(1 + len(s.peers.All()))
 	s.levels.Sweep(now)
 	s.ledger.Sweep(now)
 	for _, name := range s.peers.Forget(now) {
@@ -142,6 +146,10 @@
 		s.adopt(now, m.Manifest)
 	case *Proof:
 		s.proved(m)
+	case *Report:
+		s.receiveReport(now, e.From, m)
+	case *Plan:
+		s.takePlan(now, m.Keeps)
 	case *TokenAsk:
 		grant := s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens)
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
--- a/core/message.go
+++ b/core/message.go
@@ -6,6 +6,7 @@
 
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
+	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
 )
@@ -28,6 +29,16 @@
 	Age     time.Duration `json:"age"`
 }
 
+// Report tells the planner about one node.
+type Report struct {
+	Report plan.Report `json:"report"`
+}
+
+// Plan answers a Report with the calls that are held back.
+type Plan struct {
+	Keeps []plan.Keep `json:"keeps,omitempty"`
+}
+
 // Fetch asks for the manifest in force.
 type Fetch struct{}
 
@@ -80,6 +91,8 @@
 
 func (*Sync) message()       {}
 func (*Proof) message()      {}
+func (*Report) message()     {}
+func (*Plan) message()       {}
 func (*Fetch) message()      {}
 func (*Config) message()     {}
 func (*TokenAsk) message()   {}
--- /dev/null
+++ b/core/plan/learner.go
@@ -0,0 +1,160 @@
+package plan
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// halfLife is how long it takes for what was learned to count half.
+	halfLife = 10 * time.Second
+	// priorCalls and priorTime are what is assumed of a route before it has run:
+	// one call a second of each kind, with the weight of 50 ms.
+	priorCalls = 0.05
+	priorTime  = 0.05 // seconds
+	// minRuns are needed before a route's cost is worth reporting.
+	minRuns = 3
+	// minCalls a run are taken for noise of the attribution.
+	minCalls = 0.05
+)
+
+// Row is what one run of a route costs at its target.
+type Row struct {
+	Route string        `json:"route"`
+	Hold  time.Duration `json:"hold"` // a slot is held, the waits for child calls included
+	Runs  float64       `json:"runs"` // recent ones that this was learned from
+	Calls []Calls       `json:"calls,omitempty"`
+}
+
+// Calls is how often a run makes calls on another route.
+type Calls struct {
+	Route string  `json:"route"`
+	Times float64 `json:"times"` // a run
+}
+
+// usage is what has been seen of one route's runs.
+type usage struct {
+	route   string
+	running int
+	time    float64 // seconds that runs have lasted together
+	calls   map[string]float64
+	hold    float64 // seconds that successful runs have lasted together
+	done    float64 // successful runs
+}
+
+// rate returns the calls on a route that a run makes a second.
+func (u *usage) rate(child string) float64 {
+	return (u.calls[child] + priorCalls) / (u.time + priorTime)
+}
+
+// Learner learns what the routes of the local target cost. The target's own calls
+// do not say which run they are made for: they are shared among the routes that
+// are running in proportion to the rates learned so far, which converges on the
+// rates under which the calls seen are most likely.
+type Learner struct {
+	routes []*usage
+	at     time.Time
+}
+
+func (l *Learner) find(route string) *usage {
+	i, ok := slices.BinarySearchFunc(l.routes, route, func(u *usage, r string) int {
+		return strings.Compare(u.route, r)
+	})
+	if !ok {
+		l.routes = slices.Insert(l.routes, i, &usage{route: route, calls: map[string]float64{}})
+	}
+	return l.routes[i]
+}
+
+// advance accounts for the time since the last event.
+func (l *Learner) advance(now time.Time) {
+	passed := now.Sub(l.at).Seconds()
+	if l.at.IsZero() || passed < 0 {
+		passed = 0
+	}
+	l.at = now
+	for _, u := range l.routes {
+		u.time += passed * float64(u.running)
+	}
+}
+
+// Began takes in the start of a run.
+func (l *Learner) Began(now time.Time, route string) {
+	l.advance(now)
+	l.find(route).running++
+}
+
+// Ended takes in the end of a run. Only successful ones tell how long a run lasts.
+func (l *Learner) Ended(now time.Time, route string, took time.Duration, well bool) {
+	l.advance(now)
+	u := l.find(route)
+	u.running = max(0, u.running-1)
+	if well {
+		u.hold += took.Seconds()
+		u.done++
+	}
+}
+
+// Called takes in a call by the local target.
+func (l *Learner) Called(now time.Time, child string) {
+	l.advance(now)
+	total := 0.0
+	for _, u := range l.routes {
+		total += float64(u.running) * u.rate(child)
+	}
+	if total == 0 {
+		return
+	}
+	for _, u := range l.routes {
+		if u.running > 0 {
+			u.calls[child] += float64(u.running) * u.rate(child) / total
+		}
+	}
+}
+
+// CalledBy takes in a call by the local target that tells which route's run it is
+// made for.
+func (l *Learner) CalledBy(now time.Time, route, child string) {
+	l.advance(now)
+	l.find(route).calls[child]++
+}
+
+// Running reports whether the target runs anything.
+func (l *Learner) Running() bool {
+	return slices.ContainsFunc(l.routes, func(u *usage) bool { return u.running > 0 })
+}
+
+// Fade lets what was learned count for less after some time.
+func (l *Learner) Fade(passed time.Duration) {
+	keep := math.Exp2(-passed.Seconds() / halfLife.Seconds())
+	for _, u := range l.routes {
+		u.time *= keep
+		u.hold *= keep
+		u.done *= keep
+		for child := range u.calls {
+			u.calls[child] *= keep
+		}
+	}
+}
+
+// Rows returns what was learned, in order of route.
+func (l *Learner) Rows() []Row {
+	var rows []Row
+	for _, u := range l.routes {
+		if u.done < minRuns {
+			continue
+		}
+		hold := u.hold / u.done
+		row := Row{Route: u.route, Hold: time.Duration(hold * float64(time.Second)), Runs: u.done}
+		for child, n := range u.calls {
+			if times := n / u.time * hold; u.time > 0 && times >= minCalls {
+				row.Calls = append(row.Calls, Calls{Route: child, Times: times})
+			}
+		}
+		slices.SortFunc(row.Calls, func(a, b Calls) int { return strings.Compare(a.Route, b.Route) })
+		rows = append(rows, row)
+	}
+	return rows
+}
--- /dev/null
+++ b/core/plan/planner.go
@@ -0,0 +1,196 @@
+package plan
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// freshFor is how long a report counts: several times the pause between two.
+	freshFor = 1500 * time.Millisecond
+	// full is the share of its slots that a service is planned to use. What is
+	// left absorbs the unevenness of a few tens of calls.
+	full = 0.92
+	// crowded is the mean queue, as a share of the slots, from which the plan is
+	// taken to have let in too much; below idle use it let in too little.
+	crowded = 0.10
+	idle    = 0.85
+	// trimDown and trimUp correct a service's capacity at each plan, within leastTrim
+	// and mostTrim.
+	trimDown  = 0.96
+	trimUp    = 1.02
+	leastTrim = 0.5
+	mostTrim  = 1.4
+	// leastShare of the calls of every class is let in, so that none is starved.
+	// Callers who come back two or three times are let in twice as often.
+	leastShare = 0.08
+	// maxDepth bounds the depth of a call graph that is followed.
+	maxDepth = 30
+	// rounds bounds how many times a service is relieved in one plan.
+	rounds = 16
+)
+
+// Keep is the share of the calls on a route and of a class that is let in.
+type Keep struct {
+	Route string  `json:"route"`
+	Class uint8   `json:"class"`
+	Share float64 `json:"share"`
+}
+
+// Services tells which services the calls of a route go to, and in which shares.
+type Services func(route string) []Share
+
+// Share is a service's part of a route's calls.
+type Share struct {
+	Service string
+	Part    float64 // the parts of a route sum to 1
+}
+
+type received struct {
+	Report
+	at time.Time
+}
+
+// Planner works out plans from the reports of all nodes.
+type Planner struct {
+	reports map[string]received
+	trim    map[string]float64 // by service
+	plan    []Keep
+	text    string
+	binding map[string]bool // services that the last plan held back calls for
+}
+
+// NewPlanner returns a planner without reports.
+func NewPlanner() *Planner {
+	return &Planner{reports: map[string]received{}, trim: map[string]float64{}}
+}
+
+// Take keeps a node's newest report.
+func (p *Planner) Take(now time.Time, node string, r Report) {
+	p.reports[node] = received{Report: r, at: now}
+}
+
+// Plan returns the last plan: what is not in it is let in whole.
+func (p *Planner) Plan() []Keep { return p.plan }
+
+// Work makes a new plan from the reports that are fresh.
+func (p *Planner) Work(now time.Time, services Services) {
+	maps.DeleteFunc(p.reports, func(_ string, r received) bool { return now.Sub(r.at) > freshFor })
+	w := &work{services: services, rows: p.rows(), costs: map[string]map[string]float64{}}
+	w.offers = p.offers(w)
+	capacity := p.capacity()
+	p.binding = map[string]bool{}
+	for range rounds {
+		service, excess := w.worst(capacity)
+		if service == "" {
+			break
+		}
+		p.binding[service] = true
+		w.relieve(service, excess)
+	}
+	p.plan = w.keeps()
+	p.text = w.describe(p, capacity)
+}
+
+// Describe returns the last plan and what it was made from, for the log.
+func (p *Planner) Describe() string { return p.text }
+
+// rows merges what nodes have learned of each route, weighted by the runs seen.
+func (p *Planner) rows() map[string]Row {
+	sums := map[string]*Row{}
+	calls := map[string]map[string]float64{}
+	for _, node := range slices.Sorted(maps.Keys(p.reports)) {
+		for _, r := range p.reports[node].Rows {
+			s, ok := sums[r.Route]
+			if !ok {
+				s = &Row{Route: r.Route}
+				sums[r.Route], calls[r.Route] = s, map[string]float64{}
+			}
+			s.Runs += r.Runs
+			s.Hold += time.Duration(r.Runs * float64(r.Hold))
+			for _, c := range r.Calls {
+				calls[r.Route][c.Route] += r.Runs * c.Times
+			}
+		}
+	}
+	out := make(map[string]Row, len(sums))
+	for route, s := range sums {
+		s.Hold = time.Duration(float64(s.Hold) / s.Runs)
+		for _, child := range slices.Sorted(maps.Keys(calls[route])) {
+			s.Calls = append(s.Calls, Calls{Route: child, Times: calls[route][child] / s.Runs})
+		}
+		out[route] = *s
+	}
+	return out
+}
+
+// offers adds up the demand of all nodes.
+func (p *Planner) offers(w *work) []*offer {
+	type key struct {
+		route string
+		class uint8
+	}
+	sums := map[key]float64{}
+	for _, r := range p.reports {
+		for _, d := range r.Demand {
+			sums[key{d.Route, d.Class}] += d.Rate
+		}
+	}
+	out := make([]*offer, 0, len(sums))
+	for k, rate := range sums {
+		out = append(out, &offer{route: k.route, class: k.class, rate: rate, share: 1, cost: w.cost(k.route, 0)})
+	}
+	slices.SortFunc(out, func(a, b *offer) int {
+		if a.class != b.class {
+			return int(a.class) - int(b.class)
+		}
+		return strings.Compare(a.route, b.route)
+	})
+	return out
+}
+
+// capacity returns the slots of each service that a plan may use, corrected by
+// what the last plan led to.
+func (p *Planner) capacity() map[string]float64 {
+	out := map[string]float64{}
+	for _, r := range p.reports {
+		out[r.Load.Service] = 0
+	}
+	for service := range out {
+		t := p.total(service)
+		if t.Slots <= 0 {
+			delete(out, service)
+			continue
+		}
+		trim, ok := p.trim[service]
+		if !ok {
+			trim = 1
+		}
+		switch {
+		case t.Queued > crowded*t.Slots:
+			trim = max(leastTrim, trim*trimDown)
+		case t.Busy < idle*t.Slots && p.binding[service]:
+			trim = min(mostTrim, trim*trimUp)
+		case !p.binding[service]:
+			trim += (1 - trim) * (1 - trimDown)
+		}
+		p.trim[service] = trim
+		out[service] = full * trim * t.Slots
+	}
+	return out
+}
+
+// total adds up what the nodes of a service report.
+func (p *Planner) total(service string) Load {
+	t := Load{Service: service}
+	for _, r := range p.reports {
+		if r.Load.Service == service {
+			t.Slots += r.Load.Slots
+			t.Busy += r.Load.Busy
+			t.Queued += r.Load.Queued
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/core/plan/report.go
@@ -0,0 +1,82 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Demand is the calls offered at a node on one route and of one class.
+type Demand struct {
+	Route string  `json:"route"`
+	Class uint8   `json:"class"`
+	Rate  float64 `json:"rate"` // calls a second, those refused included
+}
+
+// Load is the state of a target.
+type Load struct {
+	Service string  `json:"service"`
+	Slots   float64 `json:"slots"`  // calls it may run at once
+	Busy    float64 `json:"busy"`   // mean of the calls that ran
+	Queued  float64 `json:"queued"` // mean of the calls that waited
+}
+
+// Report is what one node tells the planner.
+type Report struct {
+	Demand []Demand `json:"demand,omitempty"`
+	Load   Load     `json:"load"`
+	Rows   []Row    `json:"rows,omitempty"`
+}
+
+// demandWeight is the share of the newest window in the rates reported: a surge
+// shows within two windows, and the noise of a few calls is halved.
+const demandWeight = 0.6
+
+type stream struct {
+	Demand
+	count float64
+}
+
+// Meter measures the calls offered at a node.
+type Meter struct {
+	streams []stream
+	at      time.Time
+}
+
+// Offer counts a call.
+func (m *Meter) Offer(route string, class uint8) {
+	i, ok := slices.BinarySearchFunc(m.streams, Demand{Route: route, Class: class}, func(s stream, d Demand) int {
+		return cmp.Or(strings.Compare(s.Route, d.Route), cmp.Compare(s.Class, d.Class))
+	})
+	if !ok {
+		m.streams = slices.Insert(m.streams, i, stream{Demand: Demand{Route: route, Class: class}})
+	}
+	m.streams[i].count++
+}
+
+// leastRate is the rate below which a stream is forgotten, in calls a second.
+const leastRate = 0.05
+
+// Take closes the window and returns the rates.
+func (m *Meter) Take(now time.Time) []Demand {
+	passed := now.Sub(m.at).Seconds()
+	first := m.at.IsZero()
+	m.at = now
+	if first || passed <= 0 {
+		return nil
+	}
+	var out []Demand
+	kept := m.streams[:0]
+	for _, s := range m.streams {
+		s.Rate += demandWeight * (s.count/passed - s.Rate)
+		s.count = 0
+		if s.Rate < leastRate {
+			continue
+		}
+		kept = append(kept, s)
+		out = append(out, s.Demand)
+	}
+	m.streams = kept
+	return out
+}
--- /dev/null
+++ b/core/plan/work.go
@@ -0,0 +1,131 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// offer is the demand on one route and of one class, and the share of it let in.
+type offer struct {
+	route string
+	class uint8
+	rate  float64
+	share float64
+	cost  map[string]float64 // slot-seconds of each service for one call
+}
+
+// load returns the slots of a service that the calls let in occupy.
+func (o *offer) load(service string) float64 { return o.rate * o.share * o.cost[service] }
+
+// work is one plan in the making.
+type work struct {
+	services Services
+	rows     map[string]Row
+	costs    map[string]map[string]float64 // by route
+	offers   []*offer                      // the least important class first
+}
+
+// cost returns the slot-seconds of each service that a call on a route takes, its
+// whole tree included.
+func (w *work) cost(route string, depth int) map[string]float64 {
+	if known, ok := w.costs[route]; ok {
+		return known
+	}
+	out := map[string]float64{}
+	if depth < maxDepth {
+		w.costs[route] = out // a route that leads back to itself is counted once
+	}
+	row, ok := w.rows[route]
+	if !ok {
+		return out
+	}
+	for _, s := range w.services(route) {
+		out[s.Service] += s.Part * row.Hold.Seconds()
+	}
+	for _, c := range row.Calls {
+		for service, cost := range w.cost(c.Route, depth+1) {
+			out[service] += c.Times * cost
+		}
+	}
+	return out
+}
+
+// worst returns the service that is over its capacity the most, by share, and the
+// slots that it lacks.
+func (w *work) worst(capacity map[string]float64) (service string, excess float64) {
+	most := 1.001
+	for _, name := range slices.Sorted(maps.Keys(capacity)) {
+		load := 0.0
+		for _, o := range w.offers {
+			load += o.load(name)
+		}
+		if ratio := load / capacity[name]; ratio > most && w.reducible(name) {
+			most, service, excess = ratio, name, load-capacity[name]
+		}
+	}
+	return service, excess
+}
+
+// reducible reports whether any call that loads a service can still be held back.
+func (w *work) reducible(service string) bool {
+	return slices.ContainsFunc(w.offers, func(o *offer) bool {
+		return o.cost[service] > 0 && o.share > leastShare
+	})
+}
+
+// relieve holds back calls that load a service, the least important class first
+// and in a class those that load it the most: that refuses the fewest.
+func (w *work) relieve(service string, excess float64) {
+	order := slices.Clone(w.offers)
+	slices.SortStableFunc(order, func(a, b *offer) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.cost[service], a.cost[service]))
+	})
+	for _, o := range order {
+		if excess <= 0 {
+			return
+		}
+		if o.cost[service] == 0 || o.share <= leastShare {
+			continue
+		}
+		free := o.load(service) * (1 - leastShare/o.share)
+		cut := min(1, excess/free)
+		o.share -= cut * (o.share - leastShare)
+		excess -= cut * free
+	}
+}
+
+// keeps returns the offers that are held back.
+func (w *work) keeps() []Keep {
+	var out []Keep
+	for _, o := range w.offers {
+		if o.share < 0.999 {
+			out = append(out, Keep{Route: o.route, Class: o.class, Share: o.share})
+		}
+	}
+	return out
+}
+
+// describe writes each service's planned load, capacity, measured use and queue,
+// and the calls held back.
+func (w *work) describe(p *Planner, capacity map[string]float64) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(capacity)) {
+		offered, load := 0.0, 0.0
+		for _, o := range w.offers {
+			load += o.load(name)
+			offered += o.rate * o.cost[name]
+		}
+		t := p.total(name)
+		fmt.Fprintf(&b, "%s[offered %.0f kept %.0f of %.0f trim %.2f slots %.0f busy %.0f queued %.0f] ",
+			name, offered, load, capacity[name], p.trim[name], t.Slots, t.Busy, t.Queued)
+	}
+	for _, o := range w.offers {
+		if o.share < 0.999 {
+			fmt.Fprintf(&b, "%s/%d[%.0f/s x %.2f] ", o.route, o.class, o.rate, o.share)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/planning.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryshelf/core/admit"
+	"celeryshelf/core/plan"
+)
+
+const (
+	// reportEvery is how often a node that carries calls reports to the planner; a
+	// surge is met within two reports and a plan.
+	reportEvery = 250 * time.Millisecond
+	// planFor is how long a plan holds without a newer one.
+	planFor = 1500 * time.Millisecond
+	// plannerTimeout without a plan, the next node in order is asked.
+	plannerTimeout = 700 * time.Millisecond
+	plannerSeed    = "planner/"
+	// tellEvery is how often the planner's work is logged.
+	tellEvery = 1 * time.Second
+)
+
+type keepKey struct {
+	route string
+	class uint8
+}
+
+// planning is the node's part in the fleet's plan.
+type planning struct {
+	learner plan.Learner
+	meter   plan.Meter
+	planner *plan.Planner // what this node knows if it is the planner
+	worked  time.Time
+	told    time.Time
+
+	keeps map[keepKey]float64
+	heard time.Time // when the plan in force came
+	asked time.Time // first report since then
+	mute  string    // planner that did not answer
+	until time.Time // for how long it is passed over
+
+	busy, queued float64 // slot-seconds since the last report
+	gauged       time.Time
+	faded        time.Time
+}
+
+// gauge adds up how long calls have run and waited.
+func (s *State) gauge(now time.Time) {
+	p := &s.planning
+	stats := s.gate.Stats()
+	if passed := now.Sub(p.gauged).Seconds(); !p.gauged.IsZero() && passed > 0 {
+		p.busy += float64(stats.Running) * passed
+		p.queued += float64(stats.Queued) * passed
+	}
+	p.gauged = now
+}
+
+// report tells the planner about this node when that is due.
+func (s *State) report(now time.Time) {
+	if now.Before(s.due.report) || s.config == nil {
+		return
+	}
+	p := &s.planning
+	passed := reportEvery
+	if !p.faded.IsZero() {
+		passed = now.Sub(p.faded)
+	}
+	s.due.report = now.Add(reportEvery)
+	s.gauge(now)
+	p.learner.Fade(passed)
+	r := plan.Report{Demand: p.meter.Take(now), Rows: p.learner.Rows()}
+	if !s.self.Closed && !s.self.Draining {
+		r.Load = plan.Load{
+			Service: s.self.Service, Slots: float64(s.gate.Limit()),
+			Busy: p.busy / passed.Seconds(), Queued: p.queued / passed.Seconds(),
+		}
+	}
+	p.faded, p.busy, p.queued = now, 0, 0
+	s.sendReport(now, r)
+}
+
+func (s *State) sendReport(now time.Time, r plan.Report) {
+	p := &s.planning
+	if !p.asked.IsZero() && now.Sub(p.asked) > plannerTimeout {
+		p.mute, p.until, p.asked = s.plannerName(now), now.Add(planFor), time.Time{}
+	}
+	name := s.plannerName(now)
+	if name == s.self.Name {
+		s.planner().Take(now, name, r)
+		s.work(now)
+		s.takePlan(now, s.planner().Plan())
+		return
+	}
+	if p.asked.IsZero() {
+		p.asked = now
+	}
+	s.send(name, &Report{Report: r})
+}
+
+// plannerName returns the node that plans for the fleet: the first in an order
+// that every node draws alike.
+func (s *State) plannerName(now time.Time) string {
+	best, rank := "", uint64(0)
+	consider := func(name string) {
+		if name == s.planning.mute && now.Before(s.planning.until) {
+			return
+		}
+		if h := xxhash.Sum64String(plannerSeed + name); best == "" || h > rank {
+			best, rank = name, h
+		}
+	}
+	if !s.self.Draining {
+		consider(s.self.Name)
+	}
+	for _, peer := range s.peers.All() {
+		if peer.Live() {
+			consider(peer.Name)
+		}
+	}
+	if best == "" {
+		return s.self.Name
+	}
+	return best
+}
+
+func (s *State) planner() *plan.Planner {
+	if s.planning.planner == nil {
+		s.planning.planner = plan.NewPlanner()
+	}
+	return s.planning.planner
+}
+
+// work makes a new plan unless the last one is recent.
+func (s *State) work(now time.Time) {
+	if now.Sub(s.planning.worked) < reportEvery {
+		return
+	}
+	s.planning.worked = now
+	s.planner().Work(now, s.shares)
+	if now.Sub(s.planning.told) >= tellEvery {
+		s.planning.told = now
+		s.notice(Notice{Kind: Planned, Detail: s.planner().Describe()})
+	}
+}
+
+// shares returns the services that a route's calls go to.
+func (s *State) shares(route string) []plan.Share {
+	if s.config == nil || s.config.routes[route] == nil {
+		return nil
+	}
+	parts := s.config.routes[route].Services()
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	out := make([]plan.Share, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, plan.Share{Service: p.Service, Part: p.Weight / total})
+	}
+	return out
+}
+
+// receiveReport takes in another node's report and answers with the plan.
+func (s *State) receiveReport(now time.Time, from string, m *Report) {
+	s.planner().Take(now, from, m.Report)
+	s.work(now)
+	s.send(from, &Plan{Keeps: s.planner().Plan()})
+}
+
+func (s *State) takePlan(now time.Time, keeps []plan.Keep) {
+	p := &s.planning
+	p.heard, p.asked = now, time.Time{}
+	p.keeps = make(map[keepKey]float64, len(keeps))
+	for _, k := range keeps {
+		p.keeps[keepKey{k.Route, k.Class}] = k.Share
+	}
+}
+
+// planned reports whether the plan in force lets a call in.
+func (s *State) planned(now time.Time, c *call) bool {
+	p := &s.planning
+	share, held := p.keeps[keepKey{c.route, c.rank.Class}]
+	if !held || now.Sub(p.heard) > planFor {
+		return true
+	}
+	return float64(c.rank.Hash) < share*admit.HashBuckets
+}
--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -10,7 +10,7 @@
 	// fullShards splits a workspace whose burst is large enough, so that the
 	// loss of one owner leaves it most of its rate.
 	fullShards    = 3
-	minSplitBurst = 60
+	minSplitBurst = 24
 	// validityShare of the time in which the rate fills the burst is how long a
 	// batch stays valid.
 	validityShare = 0.1
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxWait is how long a call may wait for a token before it is refused.
-	maxWait = 400 * time.Millisecond
+	maxWait = 200 * time.Millisecond
 	// minAskTimeout is the least time after which an unanswered ask is given up.
 	minAskTimeout = 50 * time.Millisecond
 	unownedPause  = 50 * time.Millisecond
--- /dev/null
+++ b/core/retry/allowance.go
@@ -0,0 +1,76 @@
+package retry
+
+import "time"
+
+const (
+	// ratioShare of the fleet's bound is used: the calls that a repeated run makes
+	// again count too, and nobody sees all of them.
+	ratioShare = 0.6
+	// storeShare and refillShare divide a node's part of the slack between what it
+	// may have in store and what it gets in a window.
+	storeShare  = 0.5
+	refillShare = 0.4
+)
+
+// Bound limits what a service gets beyond the first arrival of each call.
+type Bound struct {
+	Ratio  float64       // of the calls for the service
+	Slack  float64       // arrivals that are free in a window
+	Window time.Duration // in which the bound holds
+}
+
+// Allowance is one node's part of the bound of every service. The ratio adds up
+// over nodes by itself, as each counts its own calls; the slack is divided by
+// their number.
+type Allowance struct {
+	bound    Bound
+	nodes    float64
+	services map[string]*store
+}
+
+type store struct {
+	tokens float64
+	last   time.Time
+}
+
+// NewAllowance returns a node's part of a bound.
+func NewAllowance(b Bound) *Allowance {
+	return &Allowance{bound: b, nodes: 1, services: map[string]*store{}}
+}
+
+// Share says among how many nodes the slack is divided.
+func (a *Allowance) Share(nodes int) { a.nodes = float64(max(1, nodes)) }
+
+// Bind changes the bound.
+func (a *Allowance) Bind(b Bound) { a.bound = b }
+
+func (a *Allowance) most() float64 { return max(1, storeShare*a.bound.Slack/a.nodes) }
+
+// open returns a service's store, filled up to now.
+func (a *Allowance) open(now time.Time, service string) *store {
+	s, ok := a.services[service]
+	if !ok {
+		s = &store{tokens: 1, last: now}
+		a.services[service] = s
+	}
+	rate := refillShare * a.bound.Slack / a.nodes / a.bound.Window.Seconds()
+	s.tokens = min(a.most(), s.tokens+rate*now.Sub(s.last).Seconds())
+	s.last = now
+	return s
+}
+
+// Called counts a caller's call for a service.
+func (a *Allowance) Called(now time.Time, service string) {
+	s := a.open(now, service)
+	s.tokens = min(a.most(), s.tokens+ratioShare*a.bound.Ratio)
+}
+
+// Spend takes one further arrival at a service and reports whether there was one.
+func (a *Allowance) Spend(now time.Time, service string) bool {
+	s := a.open(now, service)
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
--- a/core/state.go
+++ b/core/state.go
@@ -19,6 +19,12 @@
 	// Heartbeats says that the local target announces itself. Until it has, it is
 	// given no work.
 	Heartbeats bool
+	// Plans says that calls are held back at the entry by a plan for the fleet
+	// instead of by the levels that come with answers.
+	Plans bool
+	// Retries bounds further arrivals at each service over the whole fleet, where
+	// Plans is set.
+	Retries retry.Bound
 	// Revoke is how long the keys of a manifest that cannot be confirmed are
 	// trusted, 0 for the default. With it a lone node is no exception.
 	Revoke time.Duration
@@ -31,15 +37,17 @@
 	random  uint64
 	started time.Time
 
-	config  *config
-	calls   map[CallID]*call
-	free    []*call
-	gate    *admit.Gate
-	routes  *route.Table
-	levels  *route.Levels
-	ratio   *retry.Ratio
-	ledger  *retry.Ledger
-	records []*call // calls that wait for a Recorded
+	config    *config
+	calls     map[CallID]*call
+	free      []*call
+	gate      *admit.Gate
+	routes    *route.Table
+	levels    *route.Levels
+	ratio     *retry.Ratio
+	ledger    *retry.Ledger
+	records   []*call          // calls that wait for a Recorded
+	named     map[string]*call // calls at the local target, by their sender's name
+	allowance *retry.Allowance
 
 	peers  member.Table
 	clocks map[string]clock
@@ -47,15 +55,18 @@
 
 	asOf   time.Time // the manifest in force was the newest at this instant
 	revoke time.Duration
+	plans  bool
 	target targetState
 
+	planning planning
+
 	owner  *quota.Owner
 	holder *quota.Holder
 	shards map[quota.Shard]string // owner by the store's record
 	claims map[quota.Shard]time.Time
 
 	due struct {
-		sync, claim, sweep, verify time.Time
+		sync, claim, sweep, verify, report time.Time
 	}
 
 	effects  Effects
@@ -65,22 +76,25 @@
 // New returns the state of a node that has just started.
 func New(set Settings) *State {
 	return &State{
-		self:   set.Self,
-		seeds:  set.Seeds,
-		random: set.Seed,
-		calls:  map[CallID]*call{},
-		gate:   admit.NewGate(),
-		routes: route.NewTable(set.Self.Name),
-		levels: route.NewLevels(),
-		ratio:  retry.NewRatio(),
-		ledger: retry.NewLedger(),
-		clocks: map[string]clock{},
-		owner:  quota.NewOwner(),
-		holder: quota.NewHolder(),
-		shards: map[quota.Shard]string{},
-		claims: map[quota.Shard]time.Time{},
-		revoke: set.Revoke,
-		target: targetState{announced: set.Heartbeats},
+		self:      set.Self,
+		seeds:     set.Seeds,
+		random:    set.Seed,
+		calls:     map[CallID]*call{},
+		named:     map[string]*call{},
+		allowance: retry.NewAllowance(set.Retries),
+		gate:      admit.NewGate(),
+		routes:    route.NewTable(set.Self.Name),
+		levels:    route.NewLevels(),
+		ratio:     retry.NewRatio(),
+		ledger:    retry.NewLedger(),
+		clocks:    map[string]clock{},
+		owner:     quota.NewOwner(),
+		holder:    quota.NewHolder(),
+		shards:    map[quota.Shard]string{},
+		claims:    map[quota.Shard]time.Time{},
+		revoke:    set.Revoke,
+		target:    targetState{announced: set.Heartbeats},
+		plans:     set.Plans,
 	}
 }
 
@@ -90,6 +104,9 @@
 	if s.started.IsZero() {
 		s.start(now)
 	}
+	if s.plans {
+		s.gauge(now)
+	}
 	switch e := e.(type) {
 	case *Arrive:
 		s.arrive(now, e)
@@ -107,6 +124,7 @@
 		s.reach(now, e)
 	case *Tuned:
 		s.revoke = e.Revoke
+		s.allowance.Bind(e.Retries)
 	case *Drain:
 		s.drain(now)
 	case *TargetSeen:
@@ -122,7 +140,7 @@
 func (s *State) start(now time.Time) {
 	s.started, s.asOf = now, now
 	s.self.Closed = s.target.announced
-	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimDelay), now
+	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimEvery), now
 	s.routes.Put(now, s.endpoint(s.self, false), false)
 }
 
--- a/core/store.go
+++ b/core/store.go
@@ -15,6 +15,9 @@
 	// claimDelay lets a starting node learn of its peers before it claims shards.
 	claimDelay = 1500 * time.Millisecond
 	claimEvery = 500 * time.Millisecond
+	// resumeDelay lets the manifest come in before a node looks for the shards that
+	// an earlier process of its own held.
+	resumeDelay = 50 * time.Millisecond
 	// claimStagger is how much longer than the one before it each further
 	// candidate waits before it claims a vacant shard.
 	claimStagger = 1 * time.Second
@@ -85,6 +88,7 @@
 			s.lose(shard)
 		}
 	}
+	s.due.claim = now.Add(resumeDelay)
 }
 
 func (s *State) shardSeen(r ShardRecord) {
@@ -146,8 +150,15 @@
 }
 
 func (s *State) claimOne(now time.Time, shard quota.Shard) {
-	if _, owned := s.shards[shard]; owned {
+	if owner, owned := s.shards[shard]; owned {
 		delete(s.claims, shard)
+		if owner == s.self.Name && !s.owner.Holds(shard) {
+			// An earlier process of this node held it.
+			s.effects.Requests = append(s.effects.Requests, &Claim{Shard: shard, Rival: rivals(shard)})
+		}
+		return
+	}
+	if now.Sub(s.started) < claimDelay {
 		return
 	}
 	since, seen := s.claims[shard]
--- a/core/text.go
+++ b/core/text.go
@@ -51,7 +51,7 @@
 	StoreBack: "store-back", DrainStarted: "drain-started", OwnerClockBehind: "owner-clock-behind",
 	OwnClockBehind:  "own-clock-behind",
 	ManifestRefused: "manifest-refused",
-	TargetOpened:    "target-opened", TargetClosed: "target-closed",
+	TargetOpened:    "target-opened", TargetClosed: "target-closed", Planned: "planned",
 }
 
 // String returns the notice's name in logs.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"celeryshelf/core"
 	"celeryshelf/core/member"
+	"celeryshelf/core/retry"
 	"celeryshelf/internal/clock"
 	"celeryshelf/internal/control"
 	"celeryshelf/internal/relay"
@@ -57,6 +58,8 @@
 	Peers      []netip.AddrPort
 	Heartbeats bool          // see core.Settings
 	Revoke     time.Duration // see core.Settings
+	Plans      bool          // see core.Settings
+	Retries    retry.Bound   // see core.Settings
 	Log        *slog.Logger
 	Store      store.Client
 	Layout     store.Layout
@@ -95,11 +98,11 @@
 	a.observer = newObserver(c.Log, router)
 	a.control = node.NewControl(ctx, node.ControlConfig{Name: c.Self.Name, Meter: a})
 	a.session = store.NewSession(store.Config{
-		Client: c.Store, Layout: c.Layout, Name: c.Self.Name, TTL: c.Lease, Warner: a.observer, Clock: boot,
+		Client: c.Store, Layout: c.Layout, Name: c.Self.Name, Address: c.Self.Control, TTL: c.Lease, Warner: a.observer, Clock: boot,
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, Seeds: c.Peers, Seed: rand.Uint64(), Heartbeats: c.Heartbeats, Revoke: c.Revoke,
+			Self: c.Self, Seeds: c.Peers, Seed: rand.Uint64(), Heartbeats: c.Heartbeats, Revoke: c.Revoke, Plans: c.Plans, Retries: c.Retries,
 		}),
 		Messenger: a.control, Registrar: a.session, Observer: a.observer, Clock: boot,
 	})
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -63,6 +63,9 @@
 	if n.Shard.Workspace != "" {
 		attrs = append(attrs, "workspace", n.Shard.Workspace, "shard", n.Shard.Index)
 	}
+	if n.Detail != "" {
+		attrs = append(attrs, "detail", n.Detail)
+	}
 	if n.Version != 0 {
 		attrs = append(attrs, "version", n.Version)
 	}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -81,7 +81,7 @@
 // Swapper is the part of the store that Apply needs.
 type Swapper interface {
 	Get(ctx context.Context, key string) (*store.Pair, error)
-	Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error)
+	Swap(ctx context.Context, key string, revision int64, value []byte, lease int64) (bool, error)
 }
 
 // Apply writes a manifest as the version after base. It fails with ErrConflict
@@ -102,7 +102,7 @@
 	if len(value) > document.MaxSize {
 		return 0, fmt.Errorf("manifest has %d bytes, the store holds %d: %w", len(value), document.MaxSize, ErrConflict)
 	}
-	swapped, swapErr := s.Swap(ctx, key, revision, value)
+	swapped, swapErr := s.Swap(ctx, key, revision, value, 0)
 	if swapErr == nil && swapped {
 		return next.Version, nil
 	}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -11,6 +11,7 @@
 // Ask is what a request says of itself.
 type Ask struct {
 	ID      string // the sender's name for the request, empty if it has none
+	Parent  string // name of the request that it is made for, empty if it does not tell
 	Secret  string
 	Keyed   bool          // Secret came with the request
 	Timeout time.Duration // time the sender allows, 0 if it did not say
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,7 +48,7 @@
 func (r *Relay) Serve(origin core.Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		ask := r.Dialect.Ask(req)
-		a := core.Arrive{Origin: origin, ID: ask.ID, Repeat: ask.Repeat, Timeout: ask.Timeout, Keyed: ask.Keyed}
+		a := core.Arrive{Origin: origin, ID: ask.ID, ParentID: ask.Parent, Repeat: ask.Repeat, Timeout: ask.Timeout, Keyed: ask.Keyed}
 		a.Route, _ = r.Router.Route(req)
 		if ask.Keyed {
 			a.Key = manifest.DigestOf(ask.Secret)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -11,6 +11,7 @@
 
 	"celeryshelf/core"
 	"celeryshelf/core/member"
+	"celeryshelf/core/retry"
 	"celeryshelf/internal/agent"
 	"celeryshelf/internal/logging"
 	"celeryshelf/internal/relay"
@@ -37,7 +38,7 @@
 	leaveGrace = 2200 * time.Millisecond
 	// leaveShare of the time until the kill, calls that still run are given up: the
 	// platform's promise to callers ends there.
-	leaveShare = 5.0 / 6
+	leaveShare  = 5.0 / 6
 	readTimeout = 5 * time.Second
 )
 
@@ -68,7 +69,7 @@
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 			Node: s.Listen.Node, Control: s.Listen.Control,
 		},
-		Heartbeats: true, Revoke: trust(s), Log: log, Tracer: untraced{},
+		Heartbeats: true, Plans: true, Revoke: trust(s), Retries: bound(s), Log: log, Tracer: untraced{},
 		Store:   kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:  store.Layout{Prefix: s.Store.Prefix, Manifest: platform.ConfigKey, Codec: platform.Codec{}},
 		Lease:   s.Store.Lease.Duration,
@@ -89,12 +90,17 @@
 // trust returns how old the proof of the configuration may be for keyed calls.
 func trust(s settings.Sidecar) time.Duration { return s.Revoke.Duration - revokeMargin }
 
+// bound returns what services may get beyond the first arrival of each call.
+func bound(s settings.Sidecar) retry.Bound {
+	return retry.Bound{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration}
+}
+
 // applied hands changed settings to a running node.
 type applied struct{ *agent.Agent }
 
 // Apply puts in force what a running node can change.
 func (a applied) Apply(s settings.Sidecar) {
-	a.Post(&core.Tuned{Revoke: trust(s)})
+	a.Post(&core.Tuned{Revoke: trust(s), Retries: bound(s)})
 }
 
 func server(h http.Handler) *http.Server {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -46,11 +46,11 @@
 	history  []change
 	// compacted is the revision up to which the history is gone.
 	compacted int64
-	leases   map[int64]lease
-	nextID   int64
-	faults   Faults
-	changed  chan struct{} // closed and replaced at each change
-	calls    int
+	leases    map[int64]lease
+	nextID    int64
+	faults    Faults
+	changed   chan struct{} // closed and replaced at each change
+	calls     int
 }
 
 // NewStore returns an empty store.
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -87,15 +87,15 @@
 	return c.call(ctx, "kv/put", putRequest{Key: []byte(key), Value: value, Lease: lease}, nil)
 }
 
-// Swap writes a value if the key was last written at the given revision, 0 for a
-// key that is absent, and reports whether it did.
-func (c *Client) Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error) {
+// Swap writes a value under a lease, 0 for none, if the key was last written at the
+// given revision, 0 for a key that is absent, and reports whether it did.
+func (c *Client) Swap(ctx context.Context, key string, revision int64, value []byte, lease int64) (bool, error) {
 	if revision == 0 {
-		return c.Create(ctx, key, nil, value, 0)
+		return c.Create(ctx, key, nil, value, lease)
 	}
 	return c.txn(ctx, txnRequest{
 		Compare: []compare{{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: &revision}},
-		Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value}}},
+		Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value, Lease: lease}}},
 	})
 }
 
--- a/io/node/wire.go
+++ b/io/node/wire.go
@@ -10,6 +10,9 @@
 // Methods of the control protocol, one for each message.
 const (
 	methodSync     = "sync"
+	methodProof    = "proof"
+	methodReport   = "report"
+	methodPlan     = "plan"
 	methodFetch    = "fetch"
 	methodConfig   = "config"
 	methodAsk      = "ask"
@@ -31,6 +34,12 @@
 	switch m.(type) {
 	case *core.Sync:
 		return methodSync
+	case *core.Proof:
+		return methodProof
+	case *core.Report:
+		return methodReport
+	case *core.Plan:
+		return methodPlan
 	case *core.Fetch:
 		return methodFetch
 	case *core.Config:
@@ -58,6 +67,12 @@
 	switch method {
 	case methodSync:
 		return &core.Sync{}
+	case methodProof:
+		return &core.Proof{}
+	case methodReport:
+		return &core.Report{}
+	case methodPlan:
+		return &core.Plan{}
 	case methodFetch:
 		return &core.Fetch{}
 	case methodConfig:
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -35,6 +35,9 @@
 	// Create writes a value if neither its key nor any rival exists, and reports
 	// whether it did.
 	Create(ctx context.Context, key string, rivals []string, value []byte, lease int64) (bool, error)
+	// Swap writes a value under a lease if the key was last written at the
+	// revision, and reports whether it did.
+	Swap(ctx context.Context, key string, revision int64, value []byte, lease int64) (bool, error)
 	// DeleteValue deletes a key that holds exactly the value and reports whether it did.
 	DeleteValue(ctx context.Context, key string, value []byte) (bool, error)
 	// Grant creates a lease.
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -52,8 +53,9 @@
 
 // claim is the value of a shard's key.
 type claim struct {
-	Owner string `json:"owner"`
-	ID    string `json:"id"`
+	Owner   string         `json:"owner"`
+	ID      string         `json:"id"`
+	Address netip.AddrPort `json:"at,omitzero"` // of the owner
 }
 
 // event turns a change into what the reducer takes in, or nil for keys that are
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -44,6 +45,9 @@
 	Client Client
 	Layout Layout
 	Name   string // of the node
+	// Address is one that only this process listens on. A record of an earlier
+	// process there is out of use.
+	Address netip.AddrPort
 	TTL    time.Duration
 	Warner Warner
 	Clock  Clock
@@ -379,10 +383,18 @@
 // claimValue names the node and the lease that a shard is held under, so that a
 // lost answer is settled by reading the value back.
 func (s *Session) claimValue(lease int64) []byte {
-	v, _ := json.Marshal(claim{Owner: s.Name, ID: strconv.FormatInt(lease, 16)})
+	v, _ := json.Marshal(claim{Owner: s.Name, ID: strconv.FormatInt(lease, 16), Address: s.Address})
 	return v
 }
 
+// left reports whether a claim was made by an earlier process of this node, which
+// has ended: two cannot listen on one address.
+func (s *Session) left(value []byte) bool {
+	var c claim
+	err := json.Unmarshal(value, &c)
+	return err == nil && c.Owner == s.Name && c.Address.IsValid() && c.Address == s.Address
+}
+
 func (s *Session) claim(ctx context.Context, r *core.Claim) error {
 	lease := s.current()
 	if lease == 0 {
@@ -400,6 +412,11 @@
 			return fmt.Errorf("settle claim: %w", rerr)
 		}
 		held = pair != nil && string(pair.Value) == string(value)
+		if pair != nil && !held && s.left(pair.Value) {
+			if held, err = s.Client.Swap(ctx, key, pair.Revision, value, lease); err != nil {
+				return fmt.Errorf("take over shard: %w", err)
+			}
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
