core/plan, core/admit: calls counted on successful runs, headroom below full slots

Cause: while survey refused half of its calls, runs ended after their first call and the rate learned from them made trees look four times as dear: survey-page was shed with its servers idle. Survey also slows by 1.3 at its last slots: 34 run at 26.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -55,7 +55,7 @@
 	queue   []Item
 	service time.Duration
 	since   time.Time
-	slots   int // declared by the target, 0 if it has not
+	slots   int // that may be used of those the target declared, 0 if it has not
 
 	aged      time.Time
 	completed bool // a call was answered well since aged
@@ -178,15 +178,17 @@
 	return g.take(len(g.queue) - 1), true
 }
 
+// headroom is the share of its slots that a target is left free: some slow down
+// when they are nearly full, by more than the last slots are worth.
+const headroom = 0.05
+
 // Declare takes in how many calls the target says it runs at once, 0 for nothing.
-// That is the limit then, and nothing has to be found out.
+// Nothing has to be found out about the limit then.
 func (g *Gate) Declare(slots int) {
-	if slots == g.slots {
-		return
-	}
-	g.slots = slots
+	g.slots = int(float64(slots) * (1 - headroom))
 	if slots > 0 {
-		g.limit = float64(slots)
+		g.slots = max(1, g.slots)
+		g.limit = float64(g.slots)
 	}
 }
 
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -155,7 +155,7 @@
 		// Where nothing has arrived at a target, another attempt is none of the
 		// arrivals that are bounded.
 		reached := cause == Shed || c.ran != RanNo
-		return !reached || s.allowance.Spend(now, c.service)
+		return !reached || s.allowance.Spend(now, c.service, c.parent != 0)
 	}
 	if c.identity.Key != 0 && cause == Rejected {
 		return false // the identity's home has spoken
@@ -244,7 +244,7 @@
 func (s *State) completion(now time.Time, c *call, shed, well bool) admit.Completion {
 	total := now.Sub(c.began)
 	if s.plans {
-		s.planning.learner.Ended(now, c.route, total, well)
+		s.planning.learner.Ended(now, c.route, total, well, c.made)
 	}
 	blocked := c.blocked
 	if c.open > 0 {
--- a/core/call.go
+++ b/core/call.go
@@ -5,6 +5,7 @@
 
 	"celeryshelf/core/admit"
 	"celeryshelf/core/manifest"
+	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
 	"celeryshelf/core/route"
@@ -56,7 +57,8 @@
 	ran      Ran
 	level    admit.Level // highest level reported below
 
-	open    int // child calls that have not ended
+	made    []plan.Calls // calls that the target made for it
+	open    int          // child calls that have not ended
 	idle    time.Time
 	blocked time.Duration // time with open child calls
 	failed  [failedChildren]uint64
@@ -273,10 +275,21 @@
 	}
 	s.adopted(now, c, p)
 	c.weight = s.config.meanRate
-	s.planning.learner.CalledBy(now, p.route, c.route)
+	p.note(c.route)
 	s.dispatch(now, c, "")
 }
 
+// note counts a call made for this one.
+func (c *call) note(route string) {
+	for i := range c.made {
+		if c.made[i].Route == route {
+			c.made[i].Times++
+			return
+		}
+	}
+	c.made = append(c.made, plan.Calls{Route: route, Times: 1})
+}
+
 // adopted makes a call the child of one that runs at the local target.
 func (s *State) adopted(now time.Time, c, p *call) {
 	if p.open == 0 {
--- a/core/plan/learner.go
+++ b/core/plan/learner.go
@@ -38,10 +38,11 @@
 type usage struct {
 	route   string
 	running int
-	time    float64 // seconds that runs have lasted together
-	calls   map[string]float64
-	hold    float64 // seconds that successful runs have lasted together
-	done    float64 // successful runs
+	time    float64            // seconds that runs have lasted together
+	calls   map[string]float64 // shared out among the routes that ran
+	made    map[string]float64 // by successful runs that their calls named
+	hold    float64            // seconds that successful runs have lasted together
+	done    float64            // successful runs
 }
 
 // rate returns the calls on a route that a run makes a second.
@@ -49,12 +50,13 @@
 	return (u.calls[child] + priorCalls) / (u.time + priorTime)
 }
 
-// Learner learns what the routes of the local target cost. The target's own calls
-// do not say which run they are made for: they are shared among the routes that
-// are running in proportion to the rates learned so far, which converges on the
-// rates under which the calls seen are most likely.
+// Learner learns what the routes of the local target cost. Where the target's own
+// calls do not say which run they are made for, they are shared among the routes
+// that are running in proportion to the rates learned so far, which converges on
+// the rates under which the calls seen are most likely.
 type Learner struct {
 	routes []*usage
+	named  bool // calls tell which run they are made for
 	at     time.Time
 }
 
@@ -63,7 +65,7 @@
 		return strings.Compare(u.route, r)
 	})
 	if !ok {
-		l.routes = slices.Insert(l.routes, i, &usage{route: route, calls: map[string]float64{}})
+		l.routes = slices.Insert(l.routes, i, &usage{route: route, calls: map[string]float64{}, made: map[string]float64{}})
 	}
 	return l.routes[i]
 }
@@ -86,14 +88,22 @@
 	l.find(route).running++
 }
 
-// Ended takes in the end of a run. Only successful ones tell how long a run lasts.
-func (l *Learner) Ended(now time.Time, route string, took time.Duration, well bool) {
+// Ended takes in the end of a run and the calls that named it. Only successful runs
+// tell how long one lasts and what it calls.
+func (l *Learner) Ended(now time.Time, route string, took time.Duration, well bool, made []Calls) {
 	l.advance(now)
 	u := l.find(route)
 	u.running = max(0, u.running-1)
-	if well {
-		u.hold += took.Seconds()
-		u.done++
+	if !well {
+		return
+	}
+	u.hold += took.Seconds()
+	u.done++
+	for _, c := range made {
+		u.made[c.Route] += c.Times
+	}
+	if len(made) > 0 {
+		l.named = true
 	}
 }
 
@@ -114,13 +124,6 @@
 	}
 }
 
-// CalledBy takes in a call by the local target that tells which route's run it is
-// made for.
-func (l *Learner) CalledBy(now time.Time, route, child string) {
-	l.advance(now)
-	l.find(route).calls[child]++
-}
-
 // Running reports whether the target runs anything.
 func (l *Learner) Running() bool {
 	return slices.ContainsFunc(l.routes, func(u *usage) bool { return u.running > 0 })
@@ -136,6 +139,9 @@
 		for child := range u.calls {
 			u.calls[child] *= keep
 		}
+		for child := range u.made {
+			u.made[child] *= keep
+		}
 	}
 }
 
@@ -147,14 +153,26 @@
 			continue
 		}
 		hold := u.hold / u.done
-		row := Row{Route: u.route, Hold: time.Duration(hold * float64(time.Second)), Runs: u.done}
-		for child, n := range u.calls {
-			if times := n / u.time * hold; u.time > 0 && times >= minCalls {
-				row.Calls = append(row.Calls, Calls{Route: child, Times: times})
-			}
-		}
-		slices.SortFunc(row.Calls, func(a, b Calls) int { return strings.Compare(a.Route, b.Route) })
-		rows = append(rows, row)
+		rows = append(rows, Row{
+			Route: u.route, Hold: time.Duration(hold * float64(time.Second)), Runs: u.done,
+			Calls: u.perRun(l.named, hold),
+		})
 	}
 	return rows
 }
+
+// perRun returns the calls of one run in order of route.
+func (u *usage) perRun(named bool, hold float64) []Calls {
+	seen, unit := u.made, 1/u.done
+	if !named {
+		seen, unit = u.calls, hold/max(u.time, priorTime)
+	}
+	var out []Calls
+	for child, n := range seen {
+		if n*unit >= minCalls {
+			out = append(out, Calls{Route: child, Times: n * unit})
+		}
+	}
+	slices.SortFunc(out, func(a, b Calls) int { return strings.Compare(a.Route, b.Route) })
+	return out
+}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -12,20 +12,20 @@
 	freshFor = 1500 * time.Millisecond
 	// full is the share of its slots that a service is planned to use. What is
 	// left absorbs the unevenness of a few tens of calls.
-	full = 0.92
+	full = 1.0
 	// crowded is the mean queue, as a share of the slots, from which the plan is
 	// taken to have let in too much; below idle use it let in too little.
-	crowded = 0.10
-	idle    = 0.85
+	crowded = 0.20
+	idle    = 0.94
 	// trimDown and trimUp correct a service's capacity at each plan, within leastTrim
 	// and mostTrim.
-	trimDown  = 0.96
-	trimUp    = 1.02
-	leastTrim = 0.5
-	mostTrim  = 1.4
+	trimDown  = 0.98
+	trimUp    = 1.01
+	leastTrim = 0.6
+	mostTrim  = 1.2
 	// leastShare of the calls of every class is let in, so that none is starved.
 	// Callers who come back two or three times are let in twice as often.
-	leastShare = 0.08
+	leastShare = 0.05
 	// maxDepth bounds the depth of a call graph that is followed.
 	maxDepth = 30
 	// rounds bounds how many times a service is relieved in one plan.
--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -66,9 +66,15 @@
 }
 
 // Spend takes one further arrival at a service and reports whether there was one.
-func (a *Allowance) Spend(now time.Time, service string) bool {
+// Calls deep in a tree leave half of the store to those of callers: a tree whose
+// service fails that often has little hope.
+func (a *Allowance) Spend(now time.Time, service string, deep bool) bool {
 	s := a.open(now, service)
-	if s.tokens < 1 {
+	least := 1.0
+	if deep {
+		least = max(1, a.most()/2)
+	}
+	if s.tokens < least {
 		return false
 	}
 	s.tokens--
