--- /dev/null
+++ b/core/load_test.go
@@ -0,0 +1,323 @@
+package core
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/retry"
+)
+
+// The graph of these tests plays load through reducers: orders (important) and
+// views enter at front targets and make four calls in a row on table, at three
+// deep targets that cannot carry them all; pages run at deep itself.
+
+type simEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// simLeg is one call at one node.
+type simLeg struct {
+	node  int
+	route string
+	name  string
+	up    *simLeg // the leg at the node that sent it on
+	done  func(ok, ran bool)
+}
+
+type simulation struct {
+	now    time.Time
+	queue  simQueue
+	random *rand.Rand
+	nodes  []*State
+	legs   []map[CallID]*simLeg
+	next   uint64
+	work   map[string]time.Duration
+	calls  map[string]int // on table, by route
+	ran    map[string]int // runs to the end, by route
+	named  bool           // calls of targets tell what they are made for
+}
+
+const simHop = time.Millisecond
+
+func simManifest() manifest.Versioned {
+	second := manifest.Duration{Duration: time.Second}
+	high, middle, low := 0, 1, 2
+	return manifest.Versioned{Version: 1, Manifest: manifest.Manifest{
+		Services: []manifest.Service{{Name: "front"}, {Name: "deep"}},
+		Routes: []manifest.Route{
+			{Name: "order", Path: "/order", Service: "front", Priority: &high, Open: true, Once: true, Timeout: second},
+			{Name: "page", Path: "/page", Service: "deep", Priority: &middle, Open: true, Timeout: second},
+			{Name: "view", Path: "/view", Service: "front", Priority: &low, Open: true, Timeout: second},
+			{Name: "table", Path: "/table", Service: "deep", Priority: &middle, Open: true, Timeout: second},
+		},
+	}}
+}
+
+func newSimulation(plans, named bool) *simulation {
+	m := &simulation{
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), named: named,
+		work:  map[string]time.Duration{"order": 100 * time.Millisecond, "view": 100 * time.Millisecond, "page": 50 * time.Millisecond, "table": 50 * time.Millisecond},
+		calls: map[string]int{"order": 4, "view": 4}, ran: map[string]int{},
+	}
+	for i := range 6 {
+		self := testMember(i)
+		self.Service = "front"
+		if i >= 3 {
+			self.Service = "deep"
+		}
+		m.nodes = append(m.nodes, New(Settings{
+			Self: self, Seed: uint64(i), Plans: plans, Heartbeats: true,
+			Retries: retry.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		}))
+		m.legs = append(m.legs, map[CallID]*simLeg{})
+	}
+	for i := range m.nodes {
+		m.step(i, &ManifestSeen{Manifest: simManifest()})
+		slots := 200
+		if i >= 3 {
+			slots = 20
+		}
+		m.step(i, &TargetSeen{Heartbeat: Heartbeat{ID: "t", Began: 1, Sequence: 1, Slots: slots}})
+		for j := range m.nodes {
+			self := m.nodes[j].self
+			self.Closed = false
+			m.step(i, &MemberSeen{Member: self})
+		}
+		m.tick(i)
+	}
+	return m
+}
+
+func (m *simulation) after(d time.Duration, do func()) {
+	m.next++
+	heap.Push(&m.queue, simEvent{at: m.now.Add(d), order: int(m.next), do: do})
+}
+
+func (m *simulation) tick(i int) {
+	m.step(i, &Tick{})
+	m.after(10*time.Millisecond, func() { m.tick(i) })
+}
+
+func (m *simulation) run(until time.Time) {
+	for len(m.queue) > 0 && m.queue[0].at.Before(until) {
+		e := heap.Pop(&m.queue).(simEvent)
+		m.now = e.at
+		e.do()
+	}
+	m.now = until
+}
+
+func (m *simulation) id() CallID { m.next++; return CallID(m.next*0x9e3779b97f4a7c15 | 1) }
+
+// step takes an event in at a node and carries out what comes of it.
+func (m *simulation) step(i int, e Event) {
+	effects := m.nodes[i].Step(m.now, e)
+	verdicts := append([]Verdict(nil), effects.Verdicts...)
+	for _, env := range append([]Envelope(nil), effects.Envelopes...) {
+		from := m.nodes[i].self.Name
+		m.after(simHop, func() { m.receive(env.Address, from, env.Body) })
+	}
+	for _, v := range verdicts {
+		m.verdict(i, v)
+	}
+}
+
+func (m *simulation) receive(at netip.AddrPort, from string, body Message) {
+	for i, n := range m.nodes {
+		if n.self.Control == at {
+			m.step(i, &Received{From: from, Body: body})
+		}
+	}
+}
+
+func (m *simulation) verdict(i int, v Verdict) {
+	leg := m.legs[i][v.Call]
+	if leg == nil {
+		return
+	}
+	switch v.Action {
+	case Refuse:
+		m.end(i, v.Call, leg, false, v.Ran != RanNo, v)
+	case Forward:
+		m.after(simHop, func() { m.forward(v, leg) })
+	case Run:
+		m.runLeg(i, v.Call, leg)
+	case Replay, Deliver, Settle:
+	}
+}
+
+func (m *simulation) forward(v Verdict, leg *simLeg) {
+	for j, n := range m.nodes {
+		if n.self.Name != v.Endpoint {
+			continue
+		}
+		id := m.id()
+		below := &simLeg{node: j, route: leg.route, name: leg.name, up: leg}
+		below.done = func(ok, ran bool) {
+			m.after(simHop, func() {
+				if !ok && !ran {
+					m.step(leg.node, &Fail{Call: v.Call, Cause: Rejected, Reason: Overloaded, Ran: RanNo})
+					return
+				}
+				m.finish(leg.node, v.Call, leg, ok)
+			})
+		}
+		m.legs[j][id] = below
+		m.step(j, &Arrive{Call: id, Origin: FromNode, ID: leg.name, Pass: v.Pass})
+	}
+}
+
+func (m *simulation) finish(i int, call CallID, leg *simLeg, ok bool) {
+	delete(m.legs[i], call)
+	m.step(i, &Finish{Call: call, Whole: true, Failed: !ok})
+	leg.done(ok, true)
+}
+
+func (m *simulation) end(i int, call CallID, leg *simLeg, ok, ran bool, _ Verdict) {
+	delete(m.legs[i], call)
+	leg.done(ok, ran)
+}
+
+// runLeg has a target run a call: its own calls first, one after the other.
+func (m *simulation) runLeg(i int, call CallID, leg *simLeg) {
+	var next func(left int)
+	next = func(left int) {
+		if left == 0 {
+			spread := time.Duration((0.5 + m.random.Float64()) * float64(m.work[leg.route]))
+			m.after(spread, func() {
+				m.ran[leg.route]++
+				m.finish(i, call, leg, true)
+			})
+			return
+		}
+		m.child(i, leg, func(ok bool) {
+			if !ok {
+				m.finish(i, call, leg, false)
+				return
+			}
+			next(left - 1)
+		})
+	}
+	next(m.calls[leg.route])
+}
+
+func (m *simulation) child(i int, parent *simLeg, done func(ok bool)) {
+	id := m.id()
+	leg := &simLeg{node: i, route: "table", name: parent.name + ".c", done: func(ok, _ bool) { done(ok) }}
+	m.legs[i][id] = leg
+	a := &Arrive{Call: id, Origin: FromEither, Route: "table", ID: leg.name, Seed: uint64(id), Timeout: time.Second, Replayable: true}
+	if m.named {
+		a.ParentID = parent.name
+	}
+	m.step(i, a)
+}
+
+// offer sends calls on a route at a rate until an instant, spread over the nodes,
+// and counts those that succeed.
+func (m *simulation) offer(route string, rate float64, until time.Time, sent, served *int) {
+	m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if !m.now.Before(until) {
+			return
+		}
+		*sent++
+		i := m.random.IntN(len(m.nodes))
+		id := m.id()
+		leg := &simLeg{node: i, route: route, name: route + time.Duration(id).String(), done: func(ok, _ bool) {
+			if ok {
+				*served++
+			}
+		}}
+		m.legs[i][id] = leg
+		// A key marks a caller's call; the routes are open.
+		m.step(i, &Arrive{Call: id, Origin: FromEither, Route: route, ID: leg.name, Keyed: true, Seed: uint64(id), Timeout: time.Second, Replayable: true})
+		m.offer(route, rate, until, sent, served)
+	})
+}
+
+type simResult struct {
+	sent, served map[string]float64
+	wasted       float64 // share of the runs at deep that served nobody
+}
+
+// overload offers two and a half times what deep can carry.
+func overload(plans, named bool) simResult {
+	m := newSimulation(plans, named)
+	start := m.now.Add(2 * time.Second)
+	m.run(start)
+	until := start.Add(15 * time.Second)
+	routes := []struct {
+		name string
+		rate float64
+	}{{"order", 100}, {"page", 150}, {"view", 500}}
+	sent, served := make([]int, len(routes)), make([]int, len(routes))
+	for i, r := range routes {
+		m.offer(r.name, r.rate, until, &sent[i], &served[i])
+	}
+	m.run(until.Add(2 * time.Second))
+	out := simResult{sent: map[string]float64{}, served: map[string]float64{}}
+	for i, r := range routes {
+		out.sent[r.name], out.served[r.name] = float64(sent[i]), float64(served[i])
+	}
+	useful := 4 * (out.served["order"] + out.served["view"])
+	out.wasted = 1 - useful/float64(m.ran["table"])
+	return out
+}
+
+// TestOverloadDeepInTheGraph checks what callers get when a service far below the
+// entries is offered two and a half times what it can carry: whole trees, the
+// important ones first. Refused where the load meets, every tree fails.
+func TestOverloadDeepInTheGraph(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		named bool
+	}{{"calls name their run", true}, {"calls name nothing", false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := overload(true, tt.named)
+			share := func(route string) float64 { return r.served[route] / r.sent[route] }
+			t.Logf("order %.2f page %.2f view %.2f, wasted %.2f", share("order"), share("page"), share("view"), r.wasted)
+			if share("order") < 0.9 {
+				t.Errorf("%.2f of the most important calls were served, want 0.9", share("order"))
+			}
+			if share("page") < 0.8 {
+				t.Errorf("%.2f of the calls next in importance were served, want 0.8", share("page"))
+			}
+			if share("view") < 0.15 {
+				t.Errorf("%.2f of the least important calls were served: they starve", share("view"))
+			}
+			if r.wasted > 0.15 {
+				t.Errorf("%.2f of the runs at deep served nobody", r.wasted)
+			}
+		})
+	}
+}
+
+// TestOverloadWithoutAPlan shows that the load of TestOverloadDeepInTheGraph is one
+// that refusing at the gates does not survive.
+func TestOverloadWithoutAPlan(t *testing.T) {
+	r := overload(false, false)
+	t.Logf("order %.2f of %v, view %.2f, wasted %.2f", r.served["order"]/r.sent["order"], r.sent["order"], r.served["view"]/r.sent["view"], r.wasted)
+	if r.wasted < 0.15 && r.served["order"] > 0.9*r.sent["order"] {
+		t.Error("the load no longer tells a plan from none")
+	}
+}
--- /dev/null
+++ b/core/plan/planner_test.go
@@ -0,0 +1,148 @@
+package plan
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// The graph of these tests: "order" and "view" run at front and call "table" at
+// deep eight times, "page" runs at deep, "other" calls nobody.
+var testRows = []Row{
+	{Route: "order", Hold: 800 * time.Millisecond, Runs: 10, Calls: []Calls{{Route: "table", Times: 8}}},
+	{Route: "view", Hold: 500 * time.Millisecond, Runs: 10, Calls: []Calls{{Route: "table", Times: 8}}},
+	{Route: "other", Hold: 100 * time.Millisecond, Runs: 10},
+}
+
+var deepRows = []Row{
+	{Route: "table", Hold: 50 * time.Millisecond, Runs: 100},
+	{Route: "page", Hold: 100 * time.Millisecond, Runs: 10},
+}
+
+func testServices(route string) []Share {
+	if route == "table" || route == "page" {
+		return []Share{{Service: "deep", Part: 1}}
+	}
+	return []Share{{Service: "front", Part: 1}}
+}
+
+func testPlanner(now time.Time, slots float64, demand ...Demand) *Planner {
+	p := NewPlanner()
+	p.Take(now, "a", Report{Rows: testRows, Load: Load{Service: "front", Slots: 1000}, Demand: demand})
+	p.Take(now, "b", Report{Rows: deepRows, Load: Load{Service: "deep", Slots: slots, Busy: slots}})
+	return p
+}
+
+func shareOf(keeps []Keep, route string) float64 {
+	for _, k := range keeps {
+		if k.Route == route {
+			return k.Share
+		}
+	}
+	return 1
+}
+
+func TestLeastImportantCallsGoFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	demand := []Demand{
+		{Route: "order", Class: 2, Rate: 100}, // 40 slots of deep
+		{Route: "page", Class: 1, Rate: 100},  // 10 slots
+		{Route: "view", Class: 0, Rate: 300},  // 120 slots
+		{Route: "other", Class: 0, Rate: 300},
+	}
+	for _, tt := range []struct {
+		slots             float64
+		order, page, view float64
+	}{
+		{slots: 200, order: 1, page: 1, view: 1},
+		{slots: 110, order: 1, page: 1, view: 0.5},
+		{slots: 51, order: 1, page: 0.5, view: leastShare},
+		{slots: 27, order: 0.51, page: leastShare, view: leastShare},
+	} {
+		p := testPlanner(now, tt.slots, demand...)
+		p.Work(now, testServices)
+		got := p.Plan()
+		for route, want := range map[string]float64{"order": tt.order, "page": tt.page, "view": tt.view, "other": 1} {
+			if share := shareOf(got, route); math.Abs(share-want) > 0.02 {
+				t.Errorf("%v slots: %s is let in at %.2f, want %.2f", tt.slots, route, share, want)
+			}
+		}
+	}
+}
+
+func TestCostliestCallsOfAClassGoFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := testPlanner(now, 30, Demand{Route: "page", Rate: 100}, Demand{Route: "view", Rate: 100})
+	p.Work(now, testServices)
+	if page := shareOf(p.Plan(), "page"); page != 1 {
+		t.Errorf("page is let in at %.2f, though holding back view is enough", page)
+	}
+	if view := shareOf(p.Plan(), "view"); math.Abs(view-0.5) > 0.02 {
+		t.Errorf("view is let in at %.2f, want 0.5", view)
+	}
+}
+
+func TestPlanFollowsTheQueue(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := testPlanner(now, 60, Demand{Route: "view", Rate: 200})
+	p.Work(now, testServices)
+	before := shareOf(p.Plan(), "view")
+	for range 10 {
+		now = now.Add(250 * time.Millisecond)
+		p.Take(now, "a", Report{Rows: testRows, Load: Load{Service: "front", Slots: 1000}, Demand: []Demand{{Route: "view", Rate: 200}}})
+		p.Take(now, "b", Report{Rows: deepRows, Load: Load{Service: "deep", Slots: 60, Busy: 60, Queued: 30}})
+		p.Work(now, testServices)
+	}
+	if after := shareOf(p.Plan(), "view"); after > before*0.9 {
+		t.Errorf("with a queue, view is let in at %.2f after %.2f", after, before)
+	}
+}
+
+func TestOldReportsDoNotCount(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := testPlanner(now, 10, Demand{Route: "view", Rate: 200})
+	p.Work(now.Add(freshFor+time.Second), testServices)
+	if keeps := p.Plan(); len(keeps) != 0 {
+		t.Errorf("got %+v from reports that are out of date", keeps)
+	}
+}
+
+func TestRoutesThatLeadBackEnd(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := NewPlanner()
+	rows := []Row{
+		{Route: "order", Hold: time.Second, Runs: 5, Calls: []Calls{{Route: "view", Times: 2}}},
+		{Route: "view", Hold: time.Second, Runs: 5, Calls: []Calls{{Route: "order", Times: 2}}},
+	}
+	p.Take(now, "a", Report{Rows: rows, Load: Load{Service: "front", Slots: 10}, Demand: []Demand{{Route: "order", Rate: 100}}})
+	p.Work(now, testServices)
+	if share := shareOf(p.Plan(), "order"); share >= 1 {
+		t.Errorf("order is let in at %.2f", share)
+	}
+}
+
+func TestMeterReportsRates(t *testing.T) {
+	var m Meter
+	now := time.Unix(100, 0)
+	m.Take(now)
+	for range 20 {
+		for range 25 {
+			m.Offer("view", 1)
+		}
+		now = now.Add(250 * time.Millisecond)
+		if got := m.Take(now); len(got) != 1 || got[0].Rate > 101 {
+			t.Fatalf("got %+v, want one stream of up to 100 a second", got)
+		}
+	}
+	m.Offer("view", 1)
+	if got := m.Take(now.Add(10 * time.Millisecond)); got[0].Rate < 95 {
+		t.Errorf("got %.1f a second, want about 100", got[0].Rate)
+	}
+	for range 20 {
+		now = now.Add(250 * time.Millisecond)
+		m.Take(now)
+	}
+	if got := m.Take(now.Add(time.Second)); len(got) != 0 {
+		t.Errorf("got %+v after calls have ceased", got)
+	}
+}
--- /dev/null
+++ b/core/proof_test.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"celeryshelf/core/manifest"
+)
+
+// openManifest returns one whose routes need no key.
+func openManifest() manifest.Versioned {
+	v := testManifest(100, 100)
+	for i := range v.Manifest.Routes {
+		v.Manifest.Routes[i].Open = true
+	}
+	return v
+}
+
+const testRevoke = 3 * time.Second
+
+// keyed steps a keyed call and reports why it is refused, if it is.
+func keyed(s *State, now time.Time, call CallID) Reason {
+	a := &Arrive{Call: call, Route: "map", Keyed: true, Key: manifest.DigestOf("k"), Timeout: time.Second}
+	for _, v := range s.Step(now, a).Verdicts {
+		if v.Action == Refuse {
+			return v.Reason
+		}
+	}
+	return NoReason
+}
+
+func confirmedNode(now time.Time) *State {
+	s := New(Settings{Self: testMember(0), Seed: 1, Revoke: testRevoke})
+	v := testManifest(0, 1)
+	s.Step(now, &ManifestSeen{Manifest: v})
+	s.Step(now, &Confirmed{Version: v.Version, At: now})
+	return s
+}
+
+func TestKeysThatNobodyConfirmsAreRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	if why := keyed(s, now.Add(testRevoke-time.Millisecond), 1); why != NoReason {
+		t.Errorf("refused with %s while the manifest is confirmed", why)
+	}
+	if why := keyed(s, now.Add(testRevoke+time.Millisecond), 2); why != Isolated {
+		t.Errorf("got %s, want %s", why, Isolated)
+	}
+	s.Step(now.Add(testRevoke), &Confirmed{Version: 1, At: now.Add(testRevoke)})
+	if why := keyed(s, now.Add(testRevoke+time.Millisecond), 3); why != NoReason {
+		t.Errorf("refused with %s after the store has confirmed it again", why)
+	}
+}
+
+// TestProofsOfOtherVersionsProveNothing keeps a node that has missed a version from
+// taking a newer one's proof for its own.
+func TestProofsOfOtherVersionsProveNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	later := now.Add(testRevoke + time.Second)
+	s.Step(later, &Received{From: "n1", Body: &Proof{Clock: later.Sub(now), Version: 2}})
+	if why := keyed(s, later, 1); why != Isolated {
+		t.Errorf("got %s after a proof of a version that the node does not have, want %s", why, Isolated)
+	}
+	s.Step(later, &Received{From: "n1", Body: &Proof{Clock: later.Sub(now), Version: 1}})
+	if why := keyed(s, later, 2); why != NoReason {
+		t.Errorf("refused with %s after a proof of its own version", why)
+	}
+}
+
+// TestProofsCountFromTheQuestion plays a node that was stopped between asking and
+// reading the answer.
+func TestProofsCountFromTheQuestion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	asked := 500 * time.Millisecond
+	read := now.Add(10 * time.Second)
+	s.Step(read, &Received{From: "n1", Body: &Proof{Clock: asked, Version: 1, Age: 100 * time.Millisecond}})
+	if why := keyed(s, read, 1); why != Isolated {
+		t.Errorf("got %s, want %s: the proof is as old as the question", why, Isolated)
+	}
+}
+
+func TestSyncIsAnsweredWithAProof(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	peer := testMember(1)
+	got := s.Step(now.Add(time.Second), &Received{From: peer.Name, Body: &Sync{Self: peer, Clock: 7 * time.Second}})
+	for _, m := range got.Envelopes {
+		if p, ok := m.Body.(*Proof); ok {
+			if p.Clock != 7*time.Second || p.Version != 1 || p.Age != time.Second {
+				t.Errorf("got %+v", p)
+			}
+			return
+		}
+	}
+	t.Error("no proof came back")
+}
