io/store, core/route: fewer store calls, endpoints of the own domain first

Change: a new version is not announced in the store, news of nodes and shards gather for a second in a watch; of three endpoints drawn one is of the node's own domain.

--- a/core/config.go
+++ b/core/config.go
@@ -141,7 +141,7 @@
 	s.self.Version = v.Version
 	s.effects.InForce = &s.config.source
 	s.notice(Notice{Kind: ManifestInForce, Version: v.Version})
-	s.announce()
+	s.self.Revision++ // peers hear of the version, which the store need not hold
 	s.spread(now, spreadFanout)
 }
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// announce makes a change of the node's own announcement known.
+// announce makes a change of the node's own announcement known to peers and store.
 func (s *State) announce() {
 	s.self.Revision++
 	s.effects.Requests = append(s.effects.Requests, &Announce{Member: s.self})
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -15,6 +15,7 @@
 // Table holds the endpoints of every service.
 type Table struct {
 	self     string
+	domain   string
 	services map[string]*service
 }
 
@@ -23,9 +24,9 @@
 	subset []*Endpoint // rendezvous choice of this node
 }
 
-// NewTable returns an empty table for the node of the given name.
-func NewTable(self string) *Table {
-	return &Table{self: self, services: map[string]*service{}}
+// NewTable returns an empty table for the node of the given name and domain.
+func NewTable(self, domain string) *Table {
+	return &Table{self: self, domain: domain, services: map[string]*service{}}
 }
 
 // Put adds an endpoint, or updates the address and state of a known one while
@@ -80,8 +81,8 @@
 	}
 }
 
-// Pick chooses an endpoint of a service for a call: the cheaper of two drawn by
-// the seed, leaving out the one named. When no endpoint is known to be well, one
+// Pick chooses an endpoint of a service for a call: the cheapest of two drawn by
+// the seed and one of the node's own domain, leaving out the one named. When no endpoint is known to be well, one
 // that is only believed to be ill is tried. It returns nil when all are draining.
 func (t *Table) Pick(now time.Time, service string, seed uint64, without string) *Endpoint {
 	s, ok := t.services[service]
@@ -89,16 +90,27 @@
 		return nil
 	}
 	ready := func(e *Endpoint) bool { return e.Name != without && e.ready(now) }
-	if e := choose(now, s.subset, seed, ready); e != nil {
+	if e := t.choose(now, s.subset, seed, ready); e != nil {
 		return e
 	}
-	if e := choose(now, s.all, seed, ready); e != nil {
+	if e := t.choose(now, s.all, seed, ready); e != nil {
 		return e
 	}
-	return choose(now, s.all, seed, func(e *Endpoint) bool { return e.Name != without && !e.Draining })
+	return t.choose(now, s.all, seed, func(e *Endpoint) bool { return e.Name != without && !e.Draining })
 }
 
-func choose(now time.Time, list []*Endpoint, seed uint64, usable func(*Endpoint) bool) *Endpoint {
+// awayCost is how much costlier an endpoint of another domain may look than it is:
+// bytes between domains are paid for, and take longer.
+const awayCost = 1.25
+
+func (t *Table) cost(now time.Time, e *Endpoint) float64 {
+	if e.Domain != t.domain {
+		return awayCost * e.cost(now)
+	}
+	return e.cost(now)
+}
+
+func (t *Table) choose(now time.Time, list []*Endpoint, seed uint64, usable func(*Endpoint) bool) *Endpoint {
 	n := 0
 	for _, e := range list {
 		if usable(e) {
@@ -114,11 +126,30 @@
 		return first
 	}
 	step := 1 + int((seed>>32)%uint64(n-1))
-	second := nth(list, (i+step)%n, usable)
-	if second.cost(now) < first.cost(now) {
-		return second
+	best := t.cheaper(now, first, nth(list, (i+step)%n, usable))
+	return t.cheaper(now, best, t.near(list, seed, usable))
+}
+
+// near draws an endpoint of the node's own domain, or returns nil.
+func (t *Table) near(list []*Endpoint, seed uint64, usable func(*Endpoint) bool) *Endpoint {
+	own := func(e *Endpoint) bool { return e.Domain == t.domain && usable(e) }
+	n := 0
+	for _, e := range list {
+		if own(e) {
+			n++
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	return nth(list, int((seed>>16)%uint64(n)), own)
+}
+
+func (t *Table) cheaper(now time.Time, a, b *Endpoint) *Endpoint {
+	if b != nil && t.cost(now, b) < t.cost(now, a) {
+		return b
 	}
-	return first
+	return a
 }
 
 func nth(list []*Endpoint, n int, usable func(*Endpoint) bool) *Endpoint {
--- a/core/state.go
+++ b/core/state.go
@@ -83,7 +83,7 @@
 		named:     map[string]*call{},
 		allowance: retry.NewAllowance(set.Retries),
 		gate:      admit.NewGate(),
-		routes:    route.NewTable(set.Self.Name),
+		routes:    route.NewTable(set.Self.Name, set.Self.Domain),
 		levels:    route.NewLevels(),
 		ratio:     retry.NewRatio(),
 		ledger:    retry.NewLedger(),
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -146,8 +146,8 @@
 }
 
 // Watch reports the changes under a prefix from a revision on, until the context
-// ends or the stream breaks.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, report func(store.Change, int64)) error {
+// ends or the stream breaks. A stream has no answers to save by letting them gather.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, _ time.Duration, report func(store.Change, int64)) error {
 	req := watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}}
 	res, err := c.post(ctx, "watch", req)
 	if err != nil {
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -28,8 +28,8 @@
 	// which a watch misses no later change.
 	Range(ctx context.Context, prefix string) ([]Pair, int64, error)
 	// Watch reports the changes under a prefix from a revision on, until the
-	// context ends or the watch breaks.
-	Watch(ctx context.Context, prefix string, from int64, report func(Change, int64)) error
+	// context ends or the watch breaks. It may let changes gather for some time.
+	Watch(ctx context.Context, prefix string, from int64, gather time.Duration, report func(Change, int64)) error
 	// Put writes a value under a lease.
 	Put(ctx context.Context, key string, value []byte, lease int64) error
 	// Create writes a value if neither its key nor any rival exists, and reports
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -23,6 +23,9 @@
 	firstPause  = 200 * time.Millisecond
 	maxPause    = 1600 * time.Millisecond
 	requestRoom = 256
+	// gatherFor lets news of nodes and shards gather where every answer to a watch
+	// is paid for; nodes hear of each other from peers as well.
+	gatherFor = 1 * time.Second
 )
 
 // Sink takes in what the store says; it must not block for long.
@@ -48,9 +51,9 @@
 	// Address is one that only this process listens on. A record of an earlier
 	// process there is out of use.
 	Address netip.AddrPort
-	TTL    time.Duration
-	Warner Warner
-	Clock  Clock
+	TTL     time.Duration
+	Warner  Warner
+	Clock   Clock
 }
 
 // Session keeps a node's lease, carries out its requests, and reports what the
@@ -284,10 +287,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := time.Now()
+	gather := time.Duration(0)
 	if prefix == s.Layout.Prefix {
 		s.seen.use(cancel)
+		if !s.Layout.inside() {
+			gather = gatherFor
+		}
 	}
-	err := s.Client.Watch(ctx, prefix, revision+1, func(c Change, at int64) {
+	err := s.Client.Watch(ctx, prefix, revision+1, gather, func(c Change, at int64) {
 		s.report(c)
 		if prefix == s.Layout.Prefix {
 			s.seen.reach(at)
