--- a/core/call.go
+++ b/core/call.go
@@ -40,6 +40,7 @@
 	weight    float64
 	rank      admit.Rank
 	deadline  time.Time
+	patience  time.Duration // that it may wait for a token
 	once      bool
 	identity  retry.Identity // zero unless at most once under an Idempotency-Key
 	budget    retry.Budget
@@ -154,6 +155,10 @@
 	c.route, c.service, c.once = r.Name, s.part(r, e.Call), r.Once
 	c.allowed = r.Attempts
 	c.deadline = now.Add(timeout)
+	c.patience = timeout
+	if r.Target.Duration > 0 {
+		c.patience = time.Duration(patienceShare * float64(r.Target.Duration))
+	}
 	return r
 }
 
@@ -252,7 +257,7 @@
 		return
 	}
 	c.phase = waitingQuota
-	switch s.holder.Take(now, c.workspace, uint64(c.id), c.deadline) {
+	switch s.holder.Take(now, c.workspace, uint64(c.id), c.deadline, c.patience) {
 	case quota.Denied:
 		s.refuse(now, c, s.denial(c.workspace))
 	case quota.Taken:
@@ -368,7 +373,7 @@
 	v.Call = c.id
 	stats := s.gate.Stats()
 	v.Why = Why{
-		Version: s.version(), Confirmed: now.Sub(s.asOf), Left: c.deadline.Sub(now),
+		Workspace: c.workspace, Version: s.version(), Confirmed: now.Sub(s.asOf), Left: c.deadline.Sub(now),
 		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued,
 	}
 	s.effects.Verdicts = append(s.effects.Verdicts, v)
@@ -391,6 +396,10 @@
 	return c.level
 }
 
+// patienceShare of its latency objective a call may wait for a token: one that is
+// refused later has lost the time to come back.
+const patienceShare = 1.0 / 8
+
 const (
 	shortRetryAfter = 1 * time.Second
 	longRetryAfter  = 5 * time.Second
--- a/core/effect.go
+++ b/core/effect.go
@@ -99,6 +99,7 @@
 
 // Why holds what a verdict was decided from, for the log.
 type Why struct {
+	Workspace string
 	Version   uint64        // manifest in force
 	Confirmed time.Duration // age of the proof that it was the newest
 	Left      time.Duration // until the call's deadline
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -135,20 +135,20 @@
 	return a, true
 }
 
-// Take uses one token for a call, or lets the call wait for one.
-func (h *Holder) Take(now time.Time, workspace string, call uint64, deadline time.Time) Outcome {
+// Take uses one token for a call, or lets the call wait for one for a while at most.
+func (h *Holder) Take(now time.Time, workspace string, call uint64, deadline time.Time, patience time.Duration) Outcome {
 	p, ok := h.pools[workspace]
 	if !ok {
 		return Denied
 	}
 	p.count++
 	p.active = now
-	outcome := p.take(now, call, deadline)
+	outcome := p.take(now, call, deadline, min(maxWait, patience))
 	h.refill(now, p)
 	return outcome
 }
 
-func (p *pool) take(now time.Time, call uint64, deadline time.Time) Outcome {
+func (p *pool) take(now time.Time, call uint64, deadline time.Time, patience time.Duration) Outcome {
 	if len(p.waiting) == 0 && p.use(now) {
 		return Taken
 	}
@@ -156,11 +156,15 @@
 	if len(p.waiting) >= room {
 		return Denied
 	}
-	give := now.Add(maxWait)
+	give := now.Add(patience)
 	if deadline.Before(give) {
 		give = deadline
 	}
-	p.waiting = append(p.waiting, waiter{call: call, give: give})
+	i := len(p.waiting)
+	for i > 0 && p.waiting[i-1].give.After(give) {
+		i--
+	}
+	p.waiting = slices.Insert(p.waiting, i, waiter{call: call, give: give})
 	return Waiting
 }
 
--- a/internal/agent/decisions.go
+++ b/internal/agent/decisions.go
@@ -52,6 +52,7 @@
 		slog.String("action", v.Action.String()),
 		slog.String("origin", a.Origin.String()),
 		slog.String("route", a.Route+a.Pass.Route),
+		slog.String("workspace", v.Why.Workspace),
 		slog.Uint64("version", v.Why.Version),
 		slog.Duration("confirmed", v.Why.Confirmed),
 		slog.Duration("left", v.Why.Left),
@@ -62,7 +63,7 @@
 		attrs = append(attrs, slog.String("reason", v.Reason.String()), slog.String("ran", v.Ran.String()),
 			slog.Duration("retry", v.Retry), slog.Int("running", v.Why.Running), slog.Int("queued", v.Why.Queued))
 	case core.Run, core.Forward:
-		attrs = append(attrs, slog.String("endpoint", v.Endpoint), slog.String("workspace", v.Pass.Workspace))
+		attrs = append(attrs, slog.String("endpoint", v.Endpoint))
 	case core.Replay, core.Deliver, core.Settle:
 	}
 	o.log.LogAttrs(context.Background(), level, "verdict", attrs...)
