internal/control, core: time is told when it is wanted; shard owners tell their peers

Cause: a tick every 10 ms woke every idle node a hundred times a second. Letting shard news gather for a second had a node refuse calls for want of an owner that its peer already used (path.txtar, seen failing). Change: State.Pace says how soon time matters; an owner tells its peers of a shard, which holds until the store reports one; news gather for 250 ms. Measured: go test ./core/... ./cmd/celerynode passes.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -71,6 +71,9 @@
 	return Stats{Limit: g.limit, Running: g.running, Queued: len(g.queue), Service: g.service}
 }
 
+// Waiting reports whether any call is queued.
+func (g *Gate) Waiting() bool { return len(g.queue) > 0 }
+
 // Limit returns how many calls may run at once, the start of the target apart.
 func (g *Gate) Limit() int { return int(g.limit) }
 
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -324,7 +324,7 @@
 	}
 	n := allowance(w).Shards()
 	for i := range n {
-		if _, owned := s.shards[quota.Shard{Workspace: workspace, Index: i, Count: n}]; owned {
+		if _, owned := s.ownerOf(quota.Shard{Workspace: workspace, Index: i, Count: n}); owned {
 			return OverQuota
 		}
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -21,6 +21,27 @@
 	sweepEvery  = 1 * time.Second
 )
 
+const (
+	// hurry is how soon time is to be told again while calls wait for something
+	// that time alone brings; leisure is how soon otherwise.
+	hurry   = 10 * time.Millisecond
+	leisure = 100 * time.Millisecond
+)
+
+// Pace returns how soon the reducer wants to be told the time again.
+func (s *State) Pace(now time.Time) time.Duration {
+	if len(s.records) > 0 || s.gate.Waiting() || s.holder.Waiting() {
+		return hurry
+	}
+	next := now.Add(leisure)
+	for _, due := range []time.Time{s.due.sync, s.due.claim, s.due.sweep, s.due.report} {
+		if due.After(now) && due.Before(next) {
+			next = due
+		}
+	}
+	return max(hurry, next.Sub(now))
+}
+
 func (s *State) tick(now time.Time) {
 	s.gate.Turn(now)
 	for {
@@ -150,6 +171,8 @@
 		s.receiveReport(now, e.From, m)
 	case *Plan:
 		s.takePlan(now, m.Keeps)
+	case *Held:
+		s.hints[m.Shard] = e.From
 	case *TokenAsk:
 		grant := s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens)
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
--- a/core/message.go
+++ b/core/message.go
@@ -47,6 +47,11 @@
 	Manifest manifest.Versioned `json:"manifest"`
 }
 
+// Held tells that the sender owns a shard, ahead of what the store reports.
+type Held struct {
+	Shard quota.Shard `json:"shard"`
+}
+
 // TokenAsk asks a shard's owner for tokens.
 type TokenAsk struct {
 	Ask quota.Ask `json:"ask"`
@@ -95,6 +100,7 @@
 func (*Plan) message()       {}
 func (*Fetch) message()      {}
 func (*Config) message()     {}
+func (*Held) message()       {}
 func (*TokenAsk) message()   {}
 func (*TokenGrant) message() {}
 func (*Echo) message()       {}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -233,6 +233,16 @@
 	return released
 }
 
+// Waiting reports whether any call waits for a token or any ask for its answer.
+func (h *Holder) Waiting() bool {
+	for _, p := range h.order {
+		if len(p.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Forget removes a waiting call that its caller gave up.
 func (h *Holder) Forget(workspace string, call uint64) {
 	p, ok := h.pools[workspace]
--- a/core/state.go
+++ b/core/state.go
@@ -63,6 +63,7 @@
 	owner  *quota.Owner
 	holder *quota.Holder
 	shards map[quota.Shard]string // owner by the store's record
+	hints  map[quota.Shard]string // owner by its own word, until the store reports one
 	claims map[quota.Shard]time.Time
 
 	due struct {
@@ -91,6 +92,7 @@
 		owner:     quota.NewOwner(),
 		holder:    quota.NewHolder(),
 		shards:    map[quota.Shard]string{},
+		hints:     map[quota.Shard]string{},
 		claims:    map[quota.Shard]time.Time{},
 		revoke:    set.Revoke,
 		target:    targetState{announced: set.Heartbeats},
--- a/core/store.go
+++ b/core/store.go
@@ -80,6 +80,7 @@
 		s.hear(now, m)
 	}
 	clear(s.shards)
+	clear(s.hints)
 	for _, r := range e.Shards {
 		s.shards[r.Shard] = r.Owner
 	}
@@ -94,6 +95,7 @@
 func (s *State) shardSeen(r ShardRecord) {
 	s.shards[r.Shard] = r.Owner
 	delete(s.claims, r.Shard)
+	delete(s.hints, r.Shard)
 	if r.Owner != s.self.Name && s.owner.Holds(r.Shard) {
 		s.lose(r.Shard)
 	}
@@ -101,6 +103,7 @@
 
 func (s *State) shardGone(now time.Time, shard quota.Shard) {
 	delete(s.shards, shard)
+	delete(s.hints, shard)
 	if s.owner.Holds(shard) {
 		s.lose(shard)
 	}
@@ -235,6 +238,9 @@
 	}
 	s.owner.Acquire(now, e.Shard, allowance(s.config.workspaces[e.Shard.Workspace]))
 	s.notice(Notice{Kind: ShardAcquired, Shard: e.Shard})
+	for _, p := range s.peers.All() {
+		s.send(p.Name, &Held{Shard: e.Shard})
+	}
 }
 
 // ask carries the holder's asks to the shards' owners, this node included.
@@ -244,7 +250,7 @@
 		if !ok {
 			return
 		}
-		owner, known := s.shards[a.Shard]
+		owner, known := s.ownerOf(a.Shard)
 		switch {
 		case known && owner == s.self.Name:
 			s.askSelf(now, a)
@@ -256,6 +262,16 @@
 	}
 }
 
+// ownerOf returns a shard's owner by the store's record, or by what the owner has
+// said where the store has not reported one.
+func (s *State) ownerOf(shard quota.Shard) (string, bool) {
+	if owner, known := s.shards[shard]; known {
+		return owner, true
+	}
+	owner, known := s.hints[shard]
+	return owner, known
+}
+
 func (s *State) knows(name string) bool {
 	p, ok := s.peers.Get(name)
 	return ok && !p.Silent
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -8,10 +8,7 @@
 	"celeryshelf/core/manifest"
 )
 
-const (
-	inboxSize  = 8192
-	tickPeriod = 10 * time.Millisecond
-)
+const inboxSize = 8192
 
 // Messenger sends messages to peers; it must not block.
 type Messenger interface {
@@ -72,18 +69,28 @@
 // Run takes in events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	tick := &core.Tick{}
+	var next time.Time // when the timer fires
 	for {
+		var now time.Time
 		select {
 		case it := <-l.inbox:
-			l.handle(it)
-		case <-ticker.C:
-			l.apply(l.State.Step(l.Clock.Now(), tick))
+			now = l.Clock.Now()
+			l.handle(now, it)
+		case <-timer.C:
+			now = l.Clock.Now()
+			l.apply(l.State.Step(now, tick))
+			next = time.Time{}
 		case <-ctx.Done():
 			return
 		}
+		pace := l.State.Pace(now)
+		if due := now.Add(pace); next.IsZero() || due.Add(pace/2).Before(next) {
+			next = due
+			timer.Reset(pace)
+		}
 	}
 }
 
@@ -125,7 +132,7 @@
 	}
 }
 
-func (l *Loop) handle(it item) {
+func (l *Loop) handle(now time.Time, it item) {
 	if it.applied != nil {
 		defer close(it.applied)
 	}
@@ -136,7 +143,7 @@
 	if it.ticket != nil {
 		l.tickets[it.ticket.arrive.Call] = it.ticket
 	}
-	effects := l.State.Step(l.Clock.Now(), it.event)
+	effects := l.State.Step(now, it.event)
 	l.apply(effects)
 	switch e := it.event.(type) {
 	case *core.Cancel:
--- a/io/node/wire.go
+++ b/io/node/wire.go
@@ -15,6 +15,7 @@
 	methodPlan     = "plan"
 	methodFetch    = "fetch"
 	methodConfig   = "config"
+	methodHeld     = "held"
 	methodAsk      = "ask"
 	methodGrant    = "grant"
 	methodEcho     = "echo"
@@ -44,6 +45,8 @@
 		return methodFetch
 	case *core.Config:
 		return methodConfig
+	case *core.Held:
+		return methodHeld
 	case *core.TokenAsk:
 		return methodAsk
 	case *core.TokenGrant:
@@ -77,6 +80,8 @@
 		return &core.Fetch{}
 	case methodConfig:
 		return &core.Config{}
+	case methodHeld:
+		return &core.Held{}
 	case methodAsk:
 		return &core.TokenAsk{}
 	case methodGrant:
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -25,7 +25,7 @@
 	requestRoom = 256
 	// gatherFor lets news of nodes and shards gather where every answer to a watch
 	// is paid for; nodes hear of each other from peers as well.
-	gatherFor = 1 * time.Second
+	gatherFor = 250 * time.Millisecond
 )
 
 // Sink takes in what the store says; it must not block for long.
