core: a leaving node refuses calls that it cannot finish

Ruled out: ending later (the kill comes at 6 s), and serving on while the zone is short of nodes (what is taken then is cut all the same). Change: from 0.45 of the time until the kill calls of callers are refused as not run; calls for what still runs are served.

--- a/core/call.go
+++ b/core/call.go
@@ -182,6 +182,10 @@
 }
 
 func (s *State) arriveCaller(now time.Time, c *call, e *Arrive) {
+	if !s.shut.IsZero() && !now.Before(s.shut) {
+		s.refuse(now, c, Draining)
+		return
+	}
 	r := s.resolve(now, c, e)
 	if r == nil {
 		return
--- a/core/event.go
+++ b/core/event.go
@@ -106,7 +106,11 @@
 }
 
 // Drain says that the node is to leave.
-type Drain struct{}
+type Drain struct {
+	// Shut is for how long the node still lets calls in, 0 if its callers' sides
+	// close by themselves.
+	Shut time.Duration
+}
 
 // LeaseHeld says that the store lease is certainly held until the given time.
 type LeaseHeld struct {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -270,10 +270,13 @@
 }
 
 // drain starts the node's departure.
-func (s *State) drain(now time.Time) {
+func (s *State) drain(now time.Time, shut time.Duration) {
 	if s.self.Draining {
 		return
 	}
+	if shut > 0 {
+		s.shut = now.Add(shut)
+	}
 	s.self.Draining = true
 	s.announce()
 	s.routes.Put(now, s.endpoint(s.self, false), false)
--- a/core/state.go
+++ b/core/state.go
@@ -55,6 +55,7 @@
 
 	asOf   time.Time // the manifest in force was the newest at this instant
 	revoke time.Duration
+	shut   time.Time // calls are let in until then, if the node is leaving
 	plans  bool
 	target targetState
 
@@ -128,7 +129,7 @@
 		s.revoke = e.Revoke
 		s.allowance.Bind(e.Retries)
 	case *Drain:
-		s.drain(now)
+		s.drain(now, e.Shut)
 	case *TargetSeen:
 		s.targetSeen(now, e.Heartbeat)
 	case *TargetGone:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,6 +68,7 @@
 	Tracer     Tracer
 	Target     target.Config
 	Grace      time.Duration // from the start of leaving until callers' sides close
+	Shut       time.Duration // from the start of leaving until calls are refused, 0 if never
 	Limit      time.Duration // from the start of leaving until calls are given up
 }
 
@@ -215,7 +216,7 @@
 	defer cancel()
 	a.Log.Info("leaving", "grace", a.Grace, "limit", a.Limit)
 	a.leaving.Store(true)
-	a.loop.Post(&core.Drain{})
+	a.loop.Post(&core.Drain{Shut: a.Shut})
 	time.Sleep(a.Grace)
 	err := a.finish(ctx)
 	bye, cancelBye := context.WithTimeout(context.Background(), byeTimeout)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -33,12 +33,15 @@
 	// revokeMargin is taken off the time within which a withdrawn key must stop
 	// working, for calls that wait on their way to a target.
 	revokeMargin = 1200 * time.Millisecond
-	// leaveGrace is how long a leaving node lets calls in: the platform asks twice,
+	// leaveGrace is how long a leaving node stays at least: the platform asks twice,
 	// a second apart, before its clients go elsewhere.
 	leaveGrace = 2200 * time.Millisecond
 	// leaveShare of the time until the kill, calls that still run are given up: the
 	// platform's promise to callers ends there.
-	leaveShare  = 5.0 / 6
+	leaveShare = 5.0 / 6
+	// shutShare of the time until the kill, no more calls are let in: the platform
+	// lets go of those sent in its first half that still run at the end.
+	shutShare   = 0.45
 	readTimeout = 5 * time.Second
 )
 
@@ -75,7 +78,7 @@
 		Lease:   s.Store.Lease.Duration,
 		Dialect: func(*caller.Router) relay.Dialect { return dialect },
 		Target:  target.Config{Address: s.Target, Verifier: dialect},
-		Grace:   leaveGrace, Limit: time.Duration(leaveShare * float64(s.Limit.Duration)),
+		Grace:   leaveGrace, Shut: time.Duration(shutShare * float64(s.Limit.Duration)), Limit: time.Duration(leaveShare * float64(s.Limit.Duration)),
 	})
 	a.Add(agent.Side{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.Calls(core.FromEither))})
 	registry := platform.Registry{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
