--- a/core/state.go
+++ b/core/state.go
@@ -182,6 +182,8 @@
 	Shards  int
 	Store   bool
 	Version uint64
+	// Confirmed is an instant at which the manifest in force was the newest.
+	Confirmed time.Time
 }
 
 // Ready reports whether the node can let calls in.
@@ -199,5 +201,7 @@
 		Shards:  s.owner.Count(),
 		Store:   s.store,
 		Version: s.version(),
+
+		Confirmed: s.asOf,
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -110,13 +110,35 @@
 	a.control.Attach(a.loop)
 	a.session.Attach(a.loop)
 	a.relay = relay.New(relay.Config{
-		Loop: a.loop, Router: router, Dialect: c.Dialect(router), Tracer: c.Tracer, Clock: boot,
+		Observer: a.observer, Loop: a.loop, Router: router, Dialect: c.Dialect(router), Tracer: c.Tracer, Clock: boot,
 		Local: target.NewClient(c.Target), Nodes: node.NewTransport(),
 	})
+	a.measure()
 	a.Add(Side{Name: "nodes", Address: c.Self.Node, Server: node.NewServer(a.relay.Node(node.Refuser{}))})
 	return a
 }
 
+// measure puts the state of the node on the metrics page.
+func (a *Agent) measure() {
+	gauge := func(name string, read func(v core.View) float64) {
+		metrics.GetOrCreateGauge(name, func() float64 {
+			ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+			defer cancel()
+			value := 0.0
+			a.loop.Inspect(ctx, func(s *core.State) { value = read(s.View()) })
+			return value
+		})
+	}
+	gauge("celeryshelf_calls", func(v core.View) float64 { return float64(v.Calls) })
+	gauge("celeryshelf_target_running", func(v core.View) float64 { return float64(v.Gate.Running) })
+	gauge("celeryshelf_target_queued", func(v core.View) float64 { return float64(v.Gate.Queued) })
+	gauge("celeryshelf_peers", func(v core.View) float64 { return float64(len(v.Peers)) })
+	gauge("celeryshelf_shards", func(v core.View) float64 { return float64(v.Shards) })
+	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.View) float64 {
+		return clock.Boot{}.Now().Sub(v.Confirmed).Seconds()
+	})
+}
+
 // Add gives the node another side. It must be called before Run.
 func (a *Agent) Add(s Side) { a.sides = append(a.sides, s) }
 
--- a/internal/agent/decisions.go
+++ b/internal/agent/decisions.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"celeryshelf/core"
+	"celeryshelf/internal/relay"
 )
 
 // linesPerSecond bounds the lines on single calls. What a node decides beyond that
@@ -15,6 +20,7 @@
 
 // volume counts the lines of the present second.
 type volume struct {
+	mu      sync.Mutex
 	second  time.Time
 	lines   int
 	skipped int
@@ -22,20 +28,50 @@
 
 // admit reports whether one more line may be written now.
 func (o *observer) admit(now time.Time) bool {
-	if now.Sub(o.volume.second) >= time.Second {
-		if o.volume.skipped > 0 {
-			o.log.Warn("decisions-not-logged", "count", o.volume.skipped)
+	v := &o.volume
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now.Sub(v.second) >= time.Second {
+		if v.skipped > 0 {
+			o.log.Warn("decisions-not-logged", "count", v.skipped)
 		}
-		o.volume = volume{second: now}
+		v.second, v.lines, v.skipped = now, 0, 0
 	}
-	if o.volume.lines >= linesPerSecond {
-		o.volume.skipped++
+	if v.lines >= linesPerSecond {
+		v.skipped++
 		return false
 	}
-	o.volume.lines++
+	v.lines++
 	return true
 }
 
+// Ended measures how a call left the node, and logs it unless all went well at a
+// node that only passed it on.
+func (o *observer) Ended(e relay.Ending) {
+	well := e.Whole && e.Status < http.StatusInternalServerError
+	o.ended(e.Origin, well).Update(e.Took.Seconds())
+	if well && e.Origin == core.FromNode || !o.admit(time.Now()) {
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelInfo, "ended",
+		slog.String("call", fmt.Sprintf("%016x", uint64(e.Call))),
+		slog.String("id", e.ID),
+		slog.String("origin", e.Origin.String()),
+		slog.Int("status", e.Status),
+		slog.Bool("whole", e.Whole),
+		slog.Duration("took", e.Took),
+	)
+}
+
+// ended returns the histogram of calls of one origin that ended well, or did not.
+func (o *observer) ended(origin core.Origin, well bool) *metrics.Histogram {
+	i := 2 * int(origin)
+	if well {
+		i++
+	}
+	return o.endings[i]
+}
+
 // decision logs what was decided on a call and from what.
 func (o *observer) decision(v *core.Verdict, a *core.Arrive) {
 	level := slog.LevelInfo
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -14,6 +14,7 @@
 const (
 	actionCount = int(core.Settle) + 1
 	reasonCount = int(core.BodyTooLarge) + 1
+	originCount = int(core.FromEither) + 1
 )
 
 // observer turns decisions into metrics and log lines.
@@ -23,6 +24,7 @@
 	actions [actionCount]*metrics.Counter
 	reasons [reasonCount]*metrics.Counter
 	notices map[core.NoticeKind]*metrics.Counter
+	endings [2 * originCount]*metrics.Histogram
 	volume  volume
 }
 
@@ -36,6 +38,12 @@
 		name := fmt.Sprintf("celeryshelf_refusals_total{reason=%q}", core.Reason(i))
 		o.reasons[i] = metrics.GetOrCreateCounter(name)
 	}
+	for i := range originCount {
+		for j, well := range []string{"no", "yes"} {
+			name := fmt.Sprintf("celeryshelf_call_seconds{origin=%q,well=%q}", core.Origin(i), well)
+			o.endings[2*i+j] = metrics.GetOrCreateHistogram(name)
+		}
+	}
 	return o
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,6 +30,9 @@
 	secret  string
 	origin  core.Origin
 
+	status int  // of the answer that was passed on or given
+	whole  bool // it was passed on complete
+
 	held    *http.Response // a failed answer that may yet be passed on
 	release context.CancelFunc
 	verdict core.Verdict
@@ -80,7 +83,20 @@
 func (x *exchange) refuse(v core.Verdict) {
 	x.span.Set("reason", v.Reason.String())
 	x.span.Set("ran", v.Ran.String())
-	x.refuser.Refuse(x.w, v)
+	x.refuser.Refuse(statusWriter{x.w, &x.status}, v)
+	x.whole = true
+}
+
+// statusWriter notes the status that a refusal is given.
+type statusWriter struct {
+	http.ResponseWriter
+	status *int
+}
+
+// WriteHeader notes the status and writes it.
+func (w statusWriter) WriteHeader(status int) {
+	*w.status = status
+	w.ResponseWriter.WriteHeader(status)
 }
 
 func (x *exchange) replay(v core.Verdict) {
@@ -95,7 +111,9 @@
 		node.SetOutcome(x.w.Header(), "", node.Outcome{Level: v.Level, Unspent: v.Unspent})
 	}
 	x.w.WriteHeader(ans.status)
-	_, _ = x.w.Write(ans.body)
+	x.status = ans.status
+	_, err := x.w.Write(ans.body)
+	x.whole = err == nil
 }
 
 // attempt sends the call on and reports whether another verdict is to come.
@@ -245,8 +263,10 @@
 		x.w.Header().Add("Trailer", name)
 	}
 	x.w.WriteHeader(res.StatusCode)
+	x.status = res.StatusCode
 	rec := x.recorder()
 	err := x.stream(res, rec)
+	x.whole = err == nil
 	o := node.TakeOutcome(res.Trailer)
 	for name, values := range res.Trailer {
 		x.w.Header()[http.TrailerPrefix+name] = values
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,15 +22,31 @@
 	Now() time.Time
 }
 
+// Ending is how a call left the node.
+type Ending struct {
+	Call   core.CallID
+	ID     string // the sender's name for the request
+	Origin core.Origin
+	Status int  // answered, 0 if none was
+	Whole  bool // the answer was passed on complete
+	Took   time.Duration
+}
+
+// Observer is told how calls end; it must not block.
+type Observer interface {
+	Ended(e Ending)
+}
+
 // Config holds what a Relay is made of.
 type Config struct {
-	Loop    *control.Loop
-	Router  Router
-	Dialect Dialect
-	Tracer  Tracer
-	Clock   Clock
-	Local   http.RoundTripper // towards the local target
-	Nodes   http.RoundTripper // towards other nodes
+	Observer Observer
+	Loop     *control.Loop
+	Router   Router
+	Dialect  Dialect
+	Tracer   Tracer
+	Clock    Clock
+	Local    http.RoundTripper // towards the local target
+	Nodes    http.RoundTripper // towards other nodes
 }
 
 // Relay carries calls for one node.
@@ -97,7 +113,13 @@
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
 		refuser: refuser, secret: secret, origin: a.Origin,
 	}
+	began := time.Now()
 	x.ticket = r.Loop.Begin(a)
+	defer func() {
+		r.Observer.Ended(Ending{
+			Call: a.Call, ID: a.ID, Origin: a.Origin, Status: x.status, Whole: x.whole, Took: time.Since(began),
+		})
+	}()
 	x.follow()
 }
 
