--- a/core/fleet.go
+++ b/core/fleet.go
@@ -171,6 +171,22 @@
 		s.receiveReport(now, e.From, m)
 	case *Plan:
 		s.takePlan(now, m.Keeps)
+	case *Record:
+		s.record(now, e.From, m)
+	case *Recorded:
+		s.recorded(now, m)
+	case *Handover:
+		for _, id := range m.Identities {
+			s.ledger.Record(now, id, handedOver)
+		}
+	default:
+		s.receiveQuota(now, e)
+	}
+}
+
+// receiveQuota takes in a message about tokens and their owners.
+func (s *State) receiveQuota(now time.Time, e *Received) {
+	switch m := e.Body.(type) {
 	case *Held:
 		s.hints[m.Shard] = e.From
 	case *TokenAsk:
@@ -182,14 +198,6 @@
 		s.send(e.From, &Echoed{Ask: m.Ask, Clock: now.Sub(s.started)})
 	case *Echoed:
 		s.echoed(now, e.From, m)
-	case *Record:
-		s.record(now, e.From, m)
-	case *Recorded:
-		s.recorded(now, m)
-	case *Handover:
-		for _, id := range m.Identities {
-			s.ledger.Record(now, id, handedOver)
-		}
 	}
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -120,7 +120,7 @@
 func (x *exchange) attempt(v core.Verdict) bool {
 	ctx, cancel := context.WithTimeout(x.ctx, v.Deadline.Sub(x.Clock.Now()))
 	x.release = cancel
-	res, sent, err := x.send(ctx, v)
+	res, sent, err := x.send(ctx, v) //nolint:bodyclose // drop or pass closes it
 	if err != nil {
 		x.failed(ctx, sent)
 		return true
