--- a/core/text.go
+++ b/core/text.go
@@ -61,3 +61,10 @@
 
 // String returns the origin's name in logs and metrics.
 func (o Origin) String() string { return originNames[o] }
+
+var causeNames = [...]string{
+	Unreachable: "unreachable", Rejected: "rejected", Broken: "broken", Shed: "declined", TimedOut: "timed-out",
+}
+
+// String returns the cause's name in logs and metrics.
+func (c Cause) String() string { return causeNames[c] }
--- a/internal/agent/decisions.go
+++ b/internal/agent/decisions.go
@@ -63,6 +63,22 @@
 	)
 }
 
+// Failed logs an attempt that brought no answer.
+func (o *observer) Failed(f relay.Failure) {
+	o.failures[f.Fail.Cause].Inc()
+	if !o.admit(time.Now()) {
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelInfo, "attempt-failed",
+		slog.String("call", fmt.Sprintf("%016x", uint64(f.Call))),
+		slog.String("id", f.ID),
+		slog.String("endpoint", f.Endpoint),
+		slog.String("cause", f.Fail.Cause.String()),
+		slog.String("ran", f.Fail.Ran.String()),
+		slog.String("error", f.Err.Error()),
+	)
+}
+
 // ended returns the histogram of calls of one origin that ended well, or did not.
 func (o *observer) ended(origin core.Origin, well bool) *metrics.Histogram {
 	i := 2 * int(origin)
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -14,18 +14,20 @@
 const (
 	actionCount = int(core.Settle) + 1
 	reasonCount = int(core.BodyTooLarge) + 1
+	causeCount  = int(core.TimedOut) + 1
 	originCount = int(core.FromEither) + 1
 )
 
 // observer turns decisions into metrics and log lines.
 type observer struct {
-	log     *slog.Logger
-	router  *caller.Router
-	actions [actionCount]*metrics.Counter
-	reasons [reasonCount]*metrics.Counter
-	notices map[core.NoticeKind]*metrics.Counter
-	endings [2 * originCount]*metrics.Histogram
-	volume  volume
+	log      *slog.Logger
+	router   *caller.Router
+	actions  [actionCount]*metrics.Counter
+	reasons  [reasonCount]*metrics.Counter
+	notices  map[core.NoticeKind]*metrics.Counter
+	failures [causeCount]*metrics.Counter
+	endings  [2 * originCount]*metrics.Histogram
+	volume   volume
 }
 
 func newObserver(log *slog.Logger, router *caller.Router) *observer {
@@ -38,6 +40,10 @@
 		name := fmt.Sprintf("celeryshelf_refusals_total{reason=%q}", core.Reason(i))
 		o.reasons[i] = metrics.GetOrCreateCounter(name)
 	}
+	for i := range o.failures {
+		name := fmt.Sprintf("celeryshelf_attempts_failed_total{cause=%q}", core.Cause(i))
+		o.failures[i] = metrics.GetOrCreateCounter(name)
+	}
 	for i := range originCount {
 		for j, well := range []string{"no", "yes"} {
 			name := fmt.Sprintf("celeryshelf_call_seconds{origin=%q,well=%q}", core.Origin(i), well)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -29,6 +29,7 @@
 	refuser Refuser
 	secret  string
 	origin  core.Origin
+	name    string // the sender's name for the request
 
 	status int  // of the answer that was passed on or given
 	whole  bool // it was passed on complete
@@ -122,7 +123,7 @@
 	x.release = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // drop or pass closes it
 	if err != nil {
-		x.failed(ctx, sent)
+		x.failed(ctx, sent, err)
 		return true
 	}
 	x.held = res
@@ -167,7 +168,7 @@
 
 // failed reports an attempt without an answer. The call has not run if none of it
 // was sent.
-func (x *exchange) failed(ctx context.Context, sent bool) {
+func (x *exchange) failed(ctx context.Context, sent bool, err error) {
 	if x.ctx.Err() != nil {
 		x.ticket.Cancel()
 		panic(http.ErrAbortHandler)
@@ -179,6 +180,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		f.Cause = core.TimedOut
 	}
+	x.Observer.Failed(Failure{Call: x.verdict.Call, ID: x.name, Endpoint: x.verdict.Endpoint, Fail: f, Err: err})
 	x.ticket.Fail(f)
 }
 
@@ -223,7 +225,7 @@
 func (x *exchange) deliver(ctx context.Context) bool {
 	if x.origin != core.FromNode && x.body.replayable {
 		if err := x.gather(); err != nil {
-			x.failed(ctx, true)
+			x.failed(ctx, true, err)
 			return true
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,16 @@
 // Observer is told how calls end; it must not block.
 type Observer interface {
 	Ended(e Ending)
+	Failed(f Failure)
+}
+
+// Failure is an attempt that brought no answer.
+type Failure struct {
+	Call     core.CallID
+	ID       string // the sender's name for the request
+	Endpoint string
+	Fail     core.Fail
+	Err      error
 }
 
 // Config holds what a Relay is made of.
@@ -111,7 +121,7 @@
 	span.Set("route", a.Route+a.Pass.Route)
 	x := &exchange{
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
-		refuser: refuser, secret: secret, origin: a.Origin,
+		refuser: refuser, secret: secret, origin: a.Origin, name: a.ID,
 	}
 	began := time.Now()
 	x.ticket = r.Loop.Begin(a)
