core: the planner asks the store for the newest manifest, the others hear of it with each plan

Change: a plan carries a proof that counts from the report it answers; nodes that get plans ask themselves only after 2 s without one.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -170,6 +170,7 @@
 	case *Report:
 		s.receiveReport(now, e.From, m)
 	case *Plan:
+		s.proved(&m.Proof)
 		s.takePlan(now, m.Keeps)
 	case *Record:
 		s.record(now, e.From, m)
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -46,16 +46,17 @@
 }
 
 type simulation struct {
-	now    time.Time
-	queue  simQueue
-	random *rand.Rand
-	nodes  []*State
-	legs   []map[CallID]*simLeg
-	next   uint64
-	work   map[string]time.Duration
-	calls  map[string]int // on table, by route
-	ran    map[string]int // runs to the end, by route
-	named  bool           // calls of targets tell what they are made for
+	now     time.Time
+	queue   simQueue
+	random  *rand.Rand
+	nodes   []*State
+	legs    []map[CallID]*simLeg
+	next    uint64
+	work    map[string]time.Duration
+	calls   map[string]int            // on table, by route
+	ran     map[string]int            // runs to the end, by route
+	request func(node int, r Request) // what the store is asked
+	named   bool                      // calls of targets tell what they are made for
 }
 
 const simHop = time.Millisecond
@@ -138,9 +139,15 @@
 		from := m.nodes[i].self.Name
 		m.after(simHop, func() { m.receive(env.Address, from, env.Body) })
 	}
+	requests := append([]Request(nil), effects.Requests...)
 	for _, v := range verdicts {
 		m.verdict(i, v)
 	}
+	for _, r := range requests {
+		if m.request != nil {
+			m.request(i, r)
+		}
+	}
 }
 
 func (m *simulation) receive(at netip.AddrPort, from string, body Message) {
--- a/core/message.go
+++ b/core/message.go
@@ -31,11 +31,13 @@
 
 // Report tells the planner about one node.
 type Report struct {
-	Report plan.Report `json:"report"`
+	Clock  time.Duration `json:"clock"` // sender's time since its start
+	Report plan.Report   `json:"report"`
 }
 
 // Plan answers a Report with the calls that are held back.
 type Plan struct {
+	Proof Proof       `json:"proof"` // as in answer to a Sync
 	Keeps []plan.Keep `json:"keeps,omitempty"`
 }
 
--- a/core/planning.go
+++ b/core/planning.go
@@ -96,7 +96,7 @@
 	if p.asked.IsZero() {
 		p.asked = now
 	}
-	s.send(name, &Report{Report: r})
+	s.send(name, &Report{Clock: now.Sub(s.started), Report: r})
 }
 
 // plannerName returns the node that plans for the fleet: the first in an order
@@ -166,7 +166,7 @@
 func (s *State) receiveReport(now time.Time, from string, m *Report) {
 	s.planner().Take(now, from, m.Report)
 	s.work(now)
-	s.send(from, &Plan{Keeps: s.planner().Plan()})
+	s.send(from, &Plan{Proof: s.proof(now, m.Clock), Keeps: s.planner().Plan()})
 }
 
 func (s *State) takePlan(now time.Time, keeps []plan.Keep) {
--- a/core/proof.go
+++ b/core/proof.go
@@ -6,14 +6,22 @@
 // setting says otherwise.
 const defaultRevoke = 3 * time.Second
 
-// verifyAfter is the age from which knowledge of the newest manifest is refreshed
-// by a call to the store. Nodes that hear of a younger proof from a peer in time
-// need no call of their own.
-const verifyAfter = 1 * time.Second
+const (
+	// verifyAfter is the age from which knowledge of the newest manifest is refreshed
+	// by a call to the store.
+	verifyAfter = 1 * time.Second
+	// followAfter is that age for a node that gets a proof from the planner with each
+	// plan: it asks itself only when those have failed to come for a while.
+	followAfter = 2 * time.Second
+)
 
 // verify asks the store when no peer has confirmed the manifest lately.
 func (s *State) verify(now time.Time) {
-	if now.Sub(s.asOf) < verifyAfter || now.Before(s.due.verify) {
+	after := verifyAfter
+	if s.plans && s.plannerName(now) != s.self.Name {
+		after = followAfter
+	}
+	if now.Sub(s.asOf) < after || now.Before(s.due.verify) {
 		return
 	}
 	s.due.verify = now.Add(s.jitter(verifyAfter))
@@ -30,7 +38,14 @@
 
 // prove answers a Sync with what this node knows.
 func (s *State) prove(now time.Time, m *Sync) {
-	s.send(m.Self.Name, &Proof{Clock: m.Clock, Version: s.version(), Age: now.Sub(s.asOf)})
+	p := s.proof(now, m.Clock)
+	s.send(m.Self.Name, &p)
+}
+
+// proof returns what this node knows, in answer to a peer's message that carried
+// the reading of the peer's clock.
+func (s *State) proof(now time.Time, reading time.Duration) Proof {
+	return Proof{Clock: reading, Version: s.version(), Age: now.Sub(s.asOf)}
 }
 
 // proved takes in the answer to a Sync that this node sent when its own clock
--- a/core/proof_test.go
+++ b/core/proof_test.go
@@ -96,3 +96,32 @@
 	}
 	t.Error("no proof came back")
 }
+
+// TestFleetAsksTheStoreOnce counts the calls by which a fleet that plans keeps its
+// manifest confirmed: the planner's, not every node's.
+func TestFleetAsksTheStoreOnce(t *testing.T) {
+	m := newSimulation(true, true)
+	asked := 0
+	m.request = func(i int, r Request) {
+		if _, ok := r.(*Verify); !ok {
+			return
+		}
+		asked++
+		at := m.now
+		m.after(4*time.Millisecond, func() { m.step(i, &Confirmed{Version: 1, At: at}) })
+	}
+	m.run(m.now.Add(2 * time.Second))
+	asked = 0
+	const seconds = 20
+	for range seconds * 10 {
+		m.run(m.now.Add(100 * time.Millisecond))
+		for i, n := range m.nodes {
+			if age := m.now.Sub(n.asOf); age > followAfter+time.Second {
+				t.Fatalf("node %d was last confirmed %s ago", i, age)
+			}
+		}
+	}
+	if limit := 2 * seconds; asked > limit {
+		t.Errorf("%d calls in %d s, want at most %d", asked, seconds, limit)
+	}
+}
