--- a/internal/control/ticket.go
+++ b/internal/control/ticket.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-
-	"github.com/cockroachdb/errors"
+	"errors"
 
 	"celeryshelf/core"
 )
