core/quota: scarce tokens go to the more important calls

Change: of the calls that wait the most important gets the next token, and the others leave it up to 0.3 of a bucket; the wait is a quarter of the objective.

--- a/core/call.go
+++ b/core/call.go
@@ -261,7 +261,9 @@
 		return
 	}
 	c.phase = waitingQuota
-	switch s.holder.Take(now, c.workspace, uint64(c.id), c.deadline, c.patience) {
+	switch s.holder.Take(now, c.workspace, quota.Claim{
+		Call: uint64(c.id), Keep: s.keep(c.rank.Class), Deadline: c.deadline, Patience: c.patience,
+	}) {
 	case quota.Denied:
 		s.refuse(now, c, s.denial(c.workspace))
 	case quota.Taken:
@@ -401,9 +403,20 @@
 	return c.level
 }
 
+// keepShare of a bucket is left by the least important calls for the most important.
+const keepShare = 0.3
+
+// keep returns the share of a bucket that calls of a class leave for those above it.
+func (s *State) keep(class uint8) float64 {
+	if !s.plans || s.config.top == 0 {
+		return 0
+	}
+	return keepShare * (1 - float64(class)/float64(s.config.top))
+}
+
 // patienceShare of its latency objective a call may wait for a token: one that is
 // refused later has lost the time to come back.
-const patienceShare = 1.0 / 8
+const patienceShare = 1.0 / 4
 
 const (
 	shortRetryAfter = 1 * time.Second
--- a/core/config.go
+++ b/core/config.go
@@ -22,6 +22,7 @@
 	meanRate   float64 // weight of calls without a workspace
 	salt       uint64  // alike at all nodes, and not for callers to know
 	classes    map[urgency]uint8
+	top        uint8 // the highest of them
 }
 
 // urgency orders calls by the workspace's priority, then by the route's.
@@ -60,6 +61,7 @@
 	order := slices.SortedFunc(maps.Keys(c.classes), func(a, b urgency) int { return b.compare(a) })
 	for i, u := range order {
 		c.classes[u] = uint8(i * min(admit.Classes, len(order)) / len(order))
+		c.top = c.classes[u]
 	}
 }
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -191,7 +191,7 @@
 	case *Held:
 		s.hints[m.Shard] = e.From
 	case *TokenAsk:
-		grant := s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens)
+		grant := s.owner.Grant(now, m.Ask)
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
 	case *TokenGrant:
 		s.tokenGrant(now, e.From, m)
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -27,6 +27,8 @@
 	ID     uint64 `json:"id"`
 	Shard  Shard  `json:"shard"`
 	Tokens int    `json:"n"`
+	// Keep is the share of the bucket to be left for more important calls.
+	Keep float64 `json:"keep,omitempty"`
 }
 
 // Outcome of Take.
@@ -46,6 +48,7 @@
 
 type waiter struct {
 	call uint64
+	keep float64   // of two that wait the one that keeps less gets the next token
 	give time.Time // refused from then on
 }
 
@@ -135,20 +138,28 @@
 	return a, true
 }
 
+// Claim is a call's wish for a token.
+type Claim struct {
+	Call     uint64
+	Keep     float64 // share of a bucket to be left for more important calls
+	Deadline time.Time
+	Patience time.Duration // for how long it may wait
+}
+
 // Take uses one token for a call, or lets the call wait for one for a while at most.
-func (h *Holder) Take(now time.Time, workspace string, call uint64, deadline time.Time, patience time.Duration) Outcome {
+func (h *Holder) Take(now time.Time, workspace string, c Claim) Outcome {
 	p, ok := h.pools[workspace]
 	if !ok {
 		return Denied
 	}
 	p.count++
 	p.active = now
-	outcome := p.take(now, call, deadline, min(maxWait, patience))
+	outcome := p.take(now, c)
 	h.refill(now, p)
 	return outcome
 }
 
-func (p *pool) take(now time.Time, call uint64, deadline time.Time, patience time.Duration) Outcome {
+func (p *pool) take(now time.Time, c Claim) Outcome {
 	if len(p.waiting) == 0 && p.use(now) {
 		return Taken
 	}
@@ -156,15 +167,15 @@
 	if len(p.waiting) >= room {
 		return Denied
 	}
-	give := now.Add(patience)
-	if deadline.Before(give) {
-		give = deadline
+	give := now.Add(min(maxWait, c.Patience))
+	if c.Deadline.Before(give) {
+		give = c.Deadline
 	}
 	i := len(p.waiting)
 	for i > 0 && p.waiting[i-1].give.After(give) {
 		i--
 	}
-	p.waiting = slices.Insert(p.waiting, i, waiter{call: call, give: give})
+	p.waiting = slices.Insert(p.waiting, i, waiter{call: c.Call, keep: c.Keep, give: give})
 	return Waiting
 }
 
@@ -224,15 +235,25 @@
 }
 
 func (p *pool) release(now time.Time, released []uint64) []uint64 {
-	n := 0
-	for n < len(p.waiting) && p.use(now) {
-		released = append(released, p.waiting[n].call)
-		n++
+	for len(p.waiting) > 0 && p.use(now) {
+		best := p.foremost()
+		released = append(released, p.waiting[best].call)
+		p.waiting = slices.Delete(p.waiting, best, best+1)
 	}
-	p.waiting = slices.Delete(p.waiting, 0, n)
 	return released
 }
 
+// foremost returns the place of the most important call that waits.
+func (p *pool) foremost() int {
+	best := 0
+	for i, w := range p.waiting {
+		if w.keep < p.waiting[best].keep {
+			best = i
+		}
+	}
+	return best
+}
+
 // Waiting reports whether any call waits for a token or any ask for its answer.
 func (h *Holder) Waiting() bool {
 	for _, p := range h.order {
@@ -354,5 +375,9 @@
 	v := &p.views[best]
 	v.ask, v.at, v.want = h.nextID, now, n
 	shard := Shard{Workspace: p.workspace, Index: best, Count: len(p.views)}
-	h.asks = append(h.asks, Ask{ID: h.nextID, Shard: shard, Tokens: n})
+	a := Ask{ID: h.nextID, Shard: shard, Tokens: n}
+	if len(p.waiting) > 0 {
+		a.Keep = p.waiting[p.foremost()].keep
+	}
+	h.asks = append(h.asks, a)
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -82,19 +82,21 @@
 // Unowned is the answer to an ask that no owner can be found for.
 func Unowned() Grant { return Grant{Retry: unownedPause} }
 
-// Grant takes up to n tokens out of a shard's bucket. A shard that is not held,
-// or whose lease has run out, grants nothing.
-func (o *Owner) Grant(now time.Time, s Shard, n int) Grant {
-	b, ok := o.buckets[s]
+// Grant takes the tokens of an ask out of the shard's bucket, as far as there are
+// any beyond what the ask leaves. A shard that is not held, or whose lease has run
+// out, grants nothing.
+func (o *Owner) Grant(now time.Time, a Ask) Grant {
+	b, ok := o.buckets[a.Shard]
 	if !ok || !now.Before(o.until) {
 		return Unowned()
 	}
 	b.fill(now)
-	got := min(n, int(b.tokens))
+	kept := a.Keep * b.size
+	got := max(0, min(a.Tokens, int(b.tokens-kept)))
 	b.tokens -= float64(got)
 	g := Grant{Tokens: got, Spare: max(0, b.tokens/b.size)}
 	if got == 0 {
-		need := 1 - b.tokens
+		need := 1 + kept - b.tokens
 		g.Retry = time.Duration(math.Ceil(need / b.rate * float64(time.Second)))
 	}
 	return g
--- a/core/store.go
+++ b/core/store.go
@@ -282,7 +282,7 @@
 func (s *State) askSelf(now time.Time, a quota.Ask) {
 	witness := s.witness()
 	if witness == "" {
-		s.granted(now, a, s.owner.Grant(now, a.Shard, a.Tokens))
+		s.granted(now, a, s.owner.Grant(now, a))
 		return
 	}
 	s.send(witness, &Echo{Ask: a})
@@ -305,7 +305,7 @@
 
 func (s *State) echoed(now time.Time, from string, m *Echoed) {
 	s.compare(now, from, m.Clock)
-	s.granted(now, m.Ask, s.owner.Grant(now, m.Ask.Shard, m.Ask.Tokens))
+	s.granted(now, m.Ask, s.owner.Grant(now, m.Ask))
 	s.ask(now)
 }
 
