core/quota: an important call asks although others were just refused

A refused ask paused its shard for all calls, and what it was granted went to whoever waited. Change: the pause holds for calls that leave as much of the bucket; an ask is for the calls of one importance.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -55,6 +55,7 @@
 type view struct {
 	spare float64
 	retry time.Time // ask not before
+	kept  float64   // unless for calls that leave less than this
 	ask   uint64    // outstanding, 0 if none
 	at    time.Time // when it was asked
 	want  int
@@ -214,7 +215,7 @@
 	}
 	v.ask, v.spare = 0, g.Spare
 	if g.Tokens == 0 {
-		v.retry = now.Add(max(g.Retry, time.Millisecond))
+		v.retry, v.kept = now.Add(max(g.Retry, time.Millisecond)), a.Keep
 	}
 	expires := v.at.Add(p.validity)
 	if g.Tokens > 0 && now.Before(expires) {
@@ -302,7 +303,7 @@
 		v := &p.views[i]
 		if v.ask != 0 && now.Sub(v.at) >= timeout {
 			v.ask, v.spare = 0, 0
-			v.retry = now.Add(unownedPause)
+			v.retry, v.kept = now.Add(unownedPause), 0
 		}
 	}
 }
@@ -357,11 +358,16 @@
 }
 
 // ask picks the fullest shard that is free to be asked, if its spare share is
-// large enough.
+// large enough. Tokens for calls that wait are asked for the most important ones.
 func (h *Holder) ask(now time.Time, p *pool, n int, spare float64) {
+	keep := 0.0
+	if len(p.waiting) > 0 {
+		keep = p.waiting[p.foremost()].keep
+		n = min(n, p.equals(keep))
+	}
 	best := -1
 	for i, v := range p.views {
-		if v.ask != 0 || now.Before(v.retry) || v.spare < spare {
+		if v.ask != 0 || now.Before(v.retry) && keep >= v.kept || v.spare < spare {
 			continue
 		}
 		if best < 0 || v.spare > p.views[best].spare {
@@ -375,9 +381,16 @@
 	v := &p.views[best]
 	v.ask, v.at, v.want = h.nextID, now, n
 	shard := Shard{Workspace: p.workspace, Index: best, Count: len(p.views)}
-	a := Ask{ID: h.nextID, Shard: shard, Tokens: n}
-	if len(p.waiting) > 0 {
-		a.Keep = p.waiting[p.foremost()].keep
+	h.asks = append(h.asks, Ask{ID: h.nextID, Shard: shard, Tokens: n, Keep: keep})
+}
+
+// equals counts the calls that wait and leave the same share of a bucket.
+func (p *pool) equals(keep float64) int {
+	n := 0
+	for _, w := range p.waiting {
+		if w.keep == keep {
+			n++
+		}
 	}
-	h.asks = append(h.asks, a)
+	return n
 }
