internal/relay, io/target: limits on headers and bodies; bodies without a length

Cause: path.txtar with a body over the limit and without a length (seen failing): it was streamed to the endpoint before its size was known, and when it broke off the answer to half a request was waited for until the deadline (504 after 1.5 s).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -71,6 +71,8 @@
 					&cli.StringFlag{Name: "path", Required: true},
 					&cli.StringFlag{Name: "host", Usage: "`HOST` to name"},
 					&cli.StringFlag{Name: "body", Usage: "`TEXT` to send"},
+					&cli.IntFlag{Name: "body-size", Usage: "`BYTES` to send instead"},
+					&cli.BoolFlag{Name: "chunked", Usage: "send the body without its length"},
 					&cli.StringSliceFlag{Name: "header", Usage: "`NAME:VALUE` to send"},
 					&cli.StringFlag{Name: "root", Usage: "name of the root call", Value: "r1"},
 					&cli.StringFlag{Name: "idempotency", Usage: "Idempotency-Key"},
@@ -142,11 +144,18 @@
 
 func call(ctx context.Context, c *cli.Command) error {
 	url := "http://" + c.String("to") + c.String("path")
-	req, err := http.NewRequestWithContext(ctx, c.String("method"), url, strings.NewReader(c.String("body")))
+	text := c.String("body")
+	if n := c.Int("body-size"); n > 0 {
+		text = strings.Repeat("x", n)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.String("method"), url, strings.NewReader(text))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
 	req.Host = c.String("host")
+	if c.Bool("chunked") {
+		req.ContentLength = -1
+	}
 	req.Header.Set(standin.RootHeader, c.String("root"))
 	for _, h := range c.StringSlice("header") {
 		name, value, _ := strings.Cut(h, ":")
--- a/core/effect.go
+++ b/core/effect.go
@@ -77,6 +77,7 @@
 	Isolated                // neither store nor peers can be reached, so keys may be stale
 	BadBody                 // the request ended before its body was whole
 	BodyTooLarge            // the body exceeds the manifest's limit
+	HeaderTooLarge          // the headers exceed the manifest's limit
 )
 
 // Verdict is the decision on one call.
--- a/core/text.go
+++ b/core/text.go
@@ -7,6 +7,7 @@
 	NoEndpoint: "no-endpoint", DeadlinePassed: "deadline", Draining: "draining",
 	BudgetSpent: "budget-spent", AttemptFailed: "attempt-failed", Duplicate: "duplicate",
 	WrongTarget: "wrong-target", Isolated: "isolated", BadBody: "bad-body", BodyTooLarge: "body-too-large",
+	HeaderTooLarge: "header-too-large",
 }
 
 // String returns the reason's name on the wire and in logs.
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -13,7 +13,7 @@
 
 const (
 	actionCount = int(core.Settle) + 1
-	reasonCount = int(core.BodyTooLarge) + 1
+	reasonCount = int(core.HeaderTooLarge) + 1
 	causeCount  = int(core.TimedOut) + 1
 	originCount = int(core.FromEither) + 1
 )
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -18,14 +18,18 @@
 	replayable bool
 }
 
-// openBody reads a small body whole and fails if it stops half-way.
+// openBody reads a small body whole and fails if it stops half-way. One whose length
+// is not known is small if it ends within the bound.
 func openBody(req *http.Request) (body, error) {
 	if req.Body == nil || req.Body == http.NoBody || req.ContentLength == 0 {
 		return body{replayable: true}, nil
 	}
-	if req.ContentLength < 0 || req.ContentLength > maxBuffered {
+	if req.ContentLength > maxBuffered {
 		return body{stream: req.Body, length: req.ContentLength}, nil
 	}
+	if req.ContentLength < 0 {
+		return openUnbounded(req)
+	}
 	held := make([]byte, req.ContentLength)
 	if _, err := io.ReadFull(req.Body, held); err != nil {
 		return body{}, fmt.Errorf("read body: %w", err)
@@ -45,3 +49,18 @@
 	}
 	out.ContentLength = b.length
 }
+
+func openUnbounded(req *http.Request) (body, error) {
+	held, err := io.ReadAll(io.LimitReader(req.Body, maxBuffered+1))
+	if err != nil {
+		return body{}, fmt.Errorf("read body: %w", err)
+	}
+	if len(held) <= maxBuffered {
+		return body{held: held, length: int64(len(held)), replayable: true}, nil
+	}
+	rest := struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(held), req.Body), req.Body}
+	return body{stream: rest, length: -1}, nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 // Router finds the route that a request takes.
 type Router interface {
 	Route(r *http.Request) (name string, ok bool)
+	Limits() manifest.Limits
 }
 
 // Clock tells the time by which the reducer judges.
@@ -100,10 +102,10 @@
 }
 
 func (r *Relay) carry(w http.ResponseWriter, req *http.Request, a core.Arrive, refuser Refuser, secret string) {
-	body, err := openBody(req)
-	if err != nil {
+	body, why := r.open(w, req, a.Origin)
+	if why != core.NoReason {
 		w.Header().Set("Connection", "close")
-		refuser.Refuse(w, core.Verdict{Reason: core.BadBody})
+		refuser.Refuse(w, core.Verdict{Reason: why})
 		return
 	}
 	req, span := r.Tracer.Start(req)
@@ -133,6 +135,46 @@
 	x.follow()
 }
 
+// open reads a request's body, or as much of it as is held, and says what is wrong
+// with the request.
+func (r *Relay) open(w http.ResponseWriter, req *http.Request, origin core.Origin) (body, core.Reason) {
+	limits := r.Router.Limits()
+	if origin == core.FromNode {
+		limits = manifest.Limits{} // checked where the call entered
+	}
+	if limits.Header > 0 && headerSize(req.Header) > limits.Header {
+		return body{}, core.HeaderTooLarge
+	}
+	if limits.Body > 0 {
+		if req.ContentLength > limits.Body {
+			return body{}, core.BodyTooLarge
+		}
+		req.Body = http.MaxBytesReader(w, req.Body, limits.Body)
+	}
+	b, err := openBody(req)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return body{}, core.BodyTooLarge
+	case err != nil:
+		return body{}, core.BadBody
+	default:
+		return b, core.NoReason
+	}
+}
+
+// headerSize returns the bytes of a request's headers as they are written.
+func headerSize(h http.Header) int {
+	const around = len(": \r\n")
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + around
+		}
+	}
+	return n
+}
+
 // seed identifies the root call, alike for repeats of a caller that says so.
 func seed(a core.Arrive, s Span) uint64 {
 	if a.Repeat != 0 {
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -35,6 +35,7 @@
 	core.Isolated:         http.StatusServiceUnavailable,
 	core.BadBody:          http.StatusBadRequest,
 	core.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	core.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 }
 
 // Refuser writes refusals to callers and to the local target.
--- a/io/caller/router.go
+++ b/io/caller/router.go
@@ -15,11 +15,12 @@
 type table struct {
 	*manifest.Matcher
 	digests map[manifest.Digest]bool
+	limits  manifest.Limits
 }
 
 // Use puts a manifest's routes and keys in force.
 func (r *Router) Use(m *manifest.Manifest) {
-	t := &table{Matcher: manifest.NewMatcher(m.Routes), digests: map[manifest.Digest]bool{}}
+	t := &table{Matcher: manifest.NewMatcher(m.Routes), digests: map[manifest.Digest]bool{}, limits: m.Limits}
 	for _, w := range m.Workspaces {
 		for _, k := range w.Keys {
 			t.digests[k.Digest] = true
@@ -41,6 +42,15 @@
 	return route.Name, true
 }
 
+// Limits returns what the manifest in force lets callers send.
+func (r *Router) Limits() manifest.Limits {
+	t := r.table.Load()
+	if t == nil {
+		return manifest.Limits{}
+	}
+	return t.limits
+}
+
 // Known reports whether a digest is that of a key in force.
 func (r *Router) Known(d manifest.Digest) bool {
 	t := r.table.Load()
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -98,7 +98,14 @@
 		}
 	} else {
 		conn.sending = make(chan error, 1)
-		go func() { conn.sending <- conn.send(req) }()
+		go func() {
+			err := conn.send(req)
+			if err != nil {
+				// Nothing will be answered to half a request.
+				_ = conn.SetDeadline(time.Unix(1, 0))
+			}
+			conn.sending <- err
+		}()
 	}
 	res, err := c.answer(conn, req)
 	if err != nil {
