--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -62,23 +62,7 @@
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "`FILE`", Required: true}},
 				Action: baseline,
 			},
-			{
-				Name: "caller", Usage: "make one call and print its status, headers and body",
-				Flags: []cli.Flag{
-					&cli.StringFlag{Name: "to", Usage: "`IP:PORT` of a node's callers' side", Required: true},
-					&cli.StringFlag{Name: "key", Usage: "`KEY` to present"},
-					&cli.StringFlag{Name: "method", Value: http.MethodGet},
-					&cli.StringFlag{Name: "path", Required: true},
-					&cli.StringFlag{Name: "host", Usage: "`HOST` to name"},
-					&cli.StringFlag{Name: "body", Usage: "`TEXT` to send"},
-					&cli.IntFlag{Name: "body-size", Usage: "`BYTES` to send instead"},
-					&cli.BoolFlag{Name: "chunked", Usage: "send the body without its length"},
-					&cli.StringSliceFlag{Name: "header", Usage: "`NAME:VALUE` to send"},
-					&cli.StringFlag{Name: "root", Usage: "name of the root call", Value: "r1"},
-					&cli.StringFlag{Name: "idempotency", Usage: "Idempotency-Key"},
-				},
-				Action: call,
-			},
+			callerCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
@@ -87,6 +71,26 @@
 	}
 }
 
+func callerCommand() *cli.Command {
+	return &cli.Command{
+		Name: "caller", Usage: "make one call and print its status, headers and body",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "to", Usage: "`IP:PORT` of a node's callers' side", Required: true},
+			&cli.StringFlag{Name: "key", Usage: "`KEY` to present"},
+			&cli.StringFlag{Name: "method", Value: http.MethodGet},
+			&cli.StringFlag{Name: "path", Required: true},
+			&cli.StringFlag{Name: "host", Usage: "`HOST` to name"},
+			&cli.StringFlag{Name: "body", Usage: "`TEXT` to send"},
+			&cli.IntFlag{Name: "body-size", Usage: "`BYTES` to send instead"},
+			&cli.BoolFlag{Name: "chunked", Usage: "send the body without its length"},
+			&cli.StringSliceFlag{Name: "header", Usage: "`NAME:VALUE` to send"},
+			&cli.StringFlag{Name: "root", Usage: "name of the root call", Value: "r1"},
+			&cli.StringFlag{Name: "idempotency", Usage: "Idempotency-Key"},
+		},
+		Action: call,
+	}
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Usage: "`IP:PORT`", Required: true}
 }
