core: a fleet that starts again finds itself; queued calls are told in time

Four nodes planned, each for the reports it got: harga was planned with 34 of 68 slots, 556 calls were shed. Change: strikes count 0.4 s apart; any message shows that a peer is there; a starting node greets up to 32 peers; a silent peer is probed each round. Queued calls are given up as not run 25 ms before their deadline, or when 0.6 of their route's usual time is left. Dead connections between nodes are found within 1 s (1.4).

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -13,7 +13,13 @@
 	coldLimit = 32.0
 	// doomedShare of the usual service time must be left when a call starts.
 	doomedShare = 0.8
-	meanWeight  = 0.05
+	// needShare is that share where the time of the call's own route is known: about
+	// one in ten calls is faster.
+	needShare = 0.6
+	// newsTime lets a refusal reach the sender before it gives up by itself and cannot
+	// know whether the call has run.
+	newsTime   = 25 * time.Millisecond
+	meanWeight = 0.05
 	// While nothing is answered the usual service time is forgotten, or calls
 	// doomed by it would never show that it has changed.
 	ageEvery  = 100 * time.Millisecond
@@ -27,6 +33,7 @@
 	Weight    float64 // the workspace's declared rate
 	Rank      Rank
 	Deadline  time.Time
+	Need      time.Duration // usual time of such a call at the target, 0 if unknown
 }
 
 // Decision is what becomes of an offered call.
@@ -106,7 +113,7 @@
 	}
 	h := g.get(it.Workspace, it.Weight)
 	h.seen[it.Rank.Class]++
-	if g.Doomed(now, it.Deadline) {
+	if g.Doomed(now, it) {
 		return Refused, Item{}
 	}
 	g.drained = g.drained || len(g.queue) == 0
@@ -137,9 +144,13 @@
 	return max(minQueue, int(g.limit*queueShare))
 }
 
-// Doomed reports whether too little time is left for the usual service time.
-func (g *Gate) Doomed(now, deadline time.Time) bool {
-	left := deadline.Sub(now)
+// Doomed reports whether too little time is left for a call to be answered, or for
+// the news that it was not run to reach its sender.
+func (g *Gate) Doomed(now time.Time, it Item) bool {
+	left := it.Deadline.Sub(now)
+	if it.Need > 0 {
+		return left < max(newsTime, time.Duration(needShare*float64(it.Need)))
+	}
 	return left <= 0 || left < time.Duration(doomedShare*float64(g.service))
 }
 
@@ -156,17 +167,19 @@
 		}
 	}
 	it = g.take(best)
-	if g.Doomed(now, it.Deadline) {
+	if g.Doomed(now, it) {
 		return it, true, true
 	}
 	g.start(g.get(it.Workspace, it.Weight))
 	return it, false, true
 }
 
-// Expired takes one queued call whose deadline has passed.
+// Expired takes one queued call whose deadline has passed, or is too near where the
+// time that it needs is known.
 func (g *Gate) Expired(now time.Time) (Item, bool) {
 	for i := range g.queue {
-		if !g.queue[i].Deadline.After(now) {
+		it := &g.queue[i]
+		if !it.Deadline.After(now) || it.Need > 0 && g.Doomed(now, *it) {
 			return g.take(i), true
 		}
 	}
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -67,10 +67,11 @@
 }
 
 func (s *State) enter(now time.Time, c *call) {
-	decision, evicted := s.gate.Offer(now, admit.Item{
+	item := admit.Item{
 		Call: uint64(c.id), Workspace: c.workspace, Weight: c.weight,
-		Rank: c.rank, Deadline: c.deadline,
-	})
+		Rank: c.rank, Deadline: c.deadline, Need: s.need(c.route),
+	}
+	decision, evicted := s.gate.Offer(now, item)
 	switch decision {
 	case admit.Admitted:
 		s.run(now, c)
@@ -78,7 +79,7 @@
 		c.phase = queued
 	case admit.Refused:
 		why := Overloaded
-		if s.gate.Doomed(now, c.deadline) {
+		if s.gate.Doomed(now, item) {
 			why = DeadlinePassed
 		}
 		s.turnAway(now, c, why)
@@ -88,6 +89,14 @@
 	}
 }
 
+// need returns how long calls on a route usually take at the local target.
+func (s *State) need(route string) time.Duration {
+	if !s.plans {
+		return 0
+	}
+	return max(time.Nanosecond, s.planning.learner.Hold(route))
+}
+
 func (s *State) run(now time.Time, c *call) {
 	c.phase, c.began = running, now
 	if s.plans {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -16,8 +16,8 @@
 	rumorRotate = 3
 	// joinRotate is what a node that has just joined is told at once.
 	joinRotate = 64
-	// probeSilent is how often, one round in so many, a silent peer is tried.
-	probeSilent = 4
+	// greetFanout is how many peers a node that starts tells at once.
+	greetFanout = 32
 	sweepEvery  = 1 * time.Second
 )
 
@@ -124,6 +124,7 @@
 		return
 	}
 	s.spread(now, syncFanout)
+	s.probeSilent(now)
 }
 
 func (s *State) hello(now time.Time, seed netip.AddrPort) Envelope {
@@ -136,11 +137,10 @@
 	if len(peers) == 0 {
 		return
 	}
-	silent := s.next()%probeSilent == 0
 	start := int(s.next() % uint64(len(peers)))
 	for i := 0; i < len(peers) && n > 0; i++ {
 		p := &peers[(start+i)%len(peers)]
-		if p.Silent && !silent {
+		if p.Silent {
 			continue
 		}
 		s.send(p.Name, s.sync(now, rumorLimit, rumorRotate))
@@ -148,6 +148,30 @@
 	}
 }
 
+// probeSilent sends a Sync to one of the silent peers, drawn at random.
+func (s *State) probeSilent(now time.Time) {
+	peers := s.peers.All()
+	if len(peers) == 0 {
+		return
+	}
+	start := int(s.next() % uint64(len(peers)))
+	for i := range peers {
+		if p := &peers[(start+i)%len(peers)]; p.Silent {
+			s.send(p.Name, s.sync(now, 0, 0))
+			return
+		}
+	}
+}
+
+// greet makes a node that has just started known to peers it has heard of.
+func (s *State) greet(now time.Time) {
+	if s.greeted || len(s.peers.All()) == 0 {
+		return
+	}
+	s.greeted = true
+	s.spread(now, greetFanout)
+}
+
 // announce makes a change of the node's own announcement known to peers and store.
 func (s *State) announce() {
 	s.self.Revision++
@@ -156,6 +180,7 @@
 
 // receive takes in a message of a peer.
 func (s *State) receive(now time.Time, e *Received) {
+	s.reachable(now, e.From, true)
 	switch m := e.Body.(type) {
 	case *Sync:
 		s.synced(now, m)
@@ -204,7 +229,6 @@
 
 func (s *State) synced(now time.Time, m *Sync) {
 	joined := s.hear(now, m.Self)
-	s.reachable(now, m.Self.Name, true)
 	s.compare(now, m.Self.Name, m.Clock)
 	s.prove(now, m)
 	for _, o := range m.Members {
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celeryshelf/core/manifest"
+	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
 )
 
@@ -46,17 +47,19 @@
 }
 
 type simulation struct {
-	now     time.Time
-	queue   simQueue
-	random  *rand.Rand
-	nodes   []*State
-	legs    []map[CallID]*simLeg
-	next    uint64
-	work    map[string]time.Duration
-	calls   map[string]int            // on table, by route
-	ran     map[string]int            // runs to the end, by route
-	request func(node int, r Request) // what the store is asked
-	named   bool                      // calls of targets tell what they are made for
+	now         time.Time
+	queue       simQueue
+	random      *rand.Rand
+	nodes       []*State
+	settings    []Settings
+	unreachable func(to int) bool
+	legs        []map[CallID]*simLeg
+	next        uint64
+	work        map[string]time.Duration
+	calls       map[string]int            // on table, by route
+	ran         map[string]int            // runs to the end, by route
+	request     func(node int, r Request) // what the store is asked
+	named       bool                      // calls of targets tell what they are made for
 }
 
 const simHop = time.Millisecond
@@ -87,19 +90,15 @@
 		if i >= 3 {
 			self.Service = "deep"
 		}
-		m.nodes = append(m.nodes, New(Settings{
+		m.settings = append(m.settings, Settings{
 			Self: self, Seed: uint64(i), Plans: plans, Heartbeats: true,
 			Retries: retry.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		}))
-		m.legs = append(m.legs, map[CallID]*simLeg{})
+		})
+		m.nodes = append(m.nodes, nil)
+		m.legs = append(m.legs, nil)
+		m.restart(i)
 	}
 	for i := range m.nodes {
-		m.step(i, &ManifestSeen{Manifest: simManifest()})
-		slots := 200
-		if i >= 3 {
-			slots = 20
-		}
-		m.step(i, &TargetSeen{Heartbeat: Heartbeat{ID: "t", Began: 1, Sequence: 1, Slots: slots}})
 		for j := range m.nodes {
 			self := m.nodes[j].self
 			self.Closed = false
@@ -110,6 +109,28 @@
 	return m
 }
 
+// restart puts a process that knows nothing in a node's place.
+func (m *simulation) restart(i int) {
+	set := &m.settings[i]
+	set.Self.Incarnation++
+	m.nodes[i], m.legs[i] = New(*set), map[CallID]*simLeg{}
+	m.step(i, &ManifestSeen{Manifest: simManifest()})
+	slots := 200
+	if i >= 3 {
+		slots = 20
+	}
+	m.step(i, &TargetSeen{Heartbeat: Heartbeat{ID: "t", Began: 1, Sequence: 1, Slots: slots}})
+}
+
+// selfs returns what every node announces.
+func (m *simulation) selfs() []member.Member {
+	var out []member.Member
+	for _, n := range m.nodes {
+		out = append(out, n.self)
+	}
+	return out
+}
+
 func (m *simulation) after(d time.Duration, do func()) {
 	m.next++
 	heap.Push(&m.queue, simEvent{at: m.now.Add(d), order: int(m.next), do: do})
@@ -152,9 +173,25 @@
 
 func (m *simulation) receive(at netip.AddrPort, from string, body Message) {
 	for i, n := range m.nodes {
-		if n.self.Control == at {
+		if n.self.Control != at {
+			continue
+		}
+		reached := m.unreachable == nil || !m.unreachable(i)
+		if reached {
 			m.step(i, &Received{From: from, Body: body})
 		}
+		if _, acked := body.(*Sync); acked || !reached {
+			m.reach(from, n.self.Name, reached)
+		}
+	}
+}
+
+// reach tells a sender whether its message got through.
+func (m *simulation) reach(from, to string, reached bool) {
+	for i, n := range m.nodes {
+		if n.self.Name == from {
+			m.step(i, &PeerReach{Name: to, Reached: reached})
+		}
 	}
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -34,8 +34,9 @@
 	Heard  time.Time // last news of the member, from anyone
 	Silent bool      // the last attempts to reach it failed
 
-	strikes int // failed attempts in a row
-	hot     int // gossip rounds that still carry it
+	strikes int       // failed attempts in a row
+	struck  time.Time // when the last of them was counted
+	hot     int       // gossip rounds that still carry it
 }
 
 // Live reports whether the peer's node takes part in the fleet.
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -11,8 +11,10 @@
 	ForgetAfter = 10 * time.Minute
 	// hotRounds is how many gossip messages carry a fresh change.
 	hotRounds = 12
-	// SilentStrikes failed attempts in a row make a peer silent.
+	// SilentStrikes failed attempts in a row, strikeApart from each other, make a peer
+	// silent: several messages that meet a process which is just starting fail at once.
 	SilentStrikes = 2
+	strikeApart   = 400 * time.Millisecond
 )
 
 // Change tells how an announcement altered the table.
@@ -47,7 +49,7 @@
 		change = Joined
 	}
 	if change == Joined {
-		p.Silent, p.strikes = false, 0
+		p.Silent, p.strikes, p.struck = false, 0, time.Time{}
 	}
 	p.Member, p.Heard, p.hot = m, now, hotRounds
 	return change
@@ -76,7 +78,11 @@
 		p.Heard, p.strikes, p.Silent = now, 0, false
 		return was
 	}
+	if now.Sub(p.struck) < strikeApart {
+		return false
+	}
 	p.strikes++
+	p.struck = now
 	p.Silent = p.strikes >= SilentStrikes
 	return p.Silent && !was
 }
--- a/core/plan/learner.go
+++ b/core/plan/learner.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// Hold returns how long a successful run of a route lasts, 0 if too few have been seen.
+func (l *Learner) Hold(route string) time.Duration {
+	u := l.find(route)
+	if u.done < minRuns {
+		return 0
+	}
+	return time.Duration(u.hold / u.done * float64(time.Second))
+}
+
 // Running reports whether the target runs anything.
 func (l *Learner) Running() bool {
 	return slices.ContainsFunc(l.routes, func(u *usage) bool { return u.running > 0 })
--- a/core/state.go
+++ b/core/state.go
@@ -53,11 +53,12 @@
 	clocks map[string]clock
 	store  bool
 
-	asOf   time.Time // the manifest in force was the newest at this instant
-	revoke time.Duration
-	shut   time.Time // calls are let in until then, if the node is leaving
-	plans  bool
-	target targetState
+	asOf    time.Time // the manifest in force was the newest at this instant
+	revoke  time.Duration
+	greeted bool
+	shut    time.Time // calls are let in until then, if the node is leaving
+	plans   bool
+	target  targetState
 
 	planning planning
 
--- a/core/store.go
+++ b/core/store.go
@@ -79,6 +79,7 @@
 	for _, m := range e.Members {
 		s.hear(now, m)
 	}
+	s.greet(now)
 	clear(s.shards)
 	clear(s.hints)
 	for _, r := range e.Shards {
--- a/io/node/client.go
+++ b/io/node/client.go
@@ -10,9 +10,10 @@
 const (
 	dialTimeout = 300 * time.Millisecond
 	// A connection that is silent for pingAfter is pinged, and closed when no
-	// answer comes within pingTimeout.
-	pingAfter   = 700 * time.Millisecond
-	pingTimeout = 700 * time.Millisecond
+	// answer comes within pingTimeout: a call that waits on a dead one has time left
+	// to be sent elsewhere.
+	pingAfter   = 400 * time.Millisecond
+	pingTimeout = 600 * time.Millisecond
 	idleTimeout = 90 * time.Second
 	// streamWindow and connWindow are how much of answers may be in flight.
 	streamWindow = 1 << 20
