core: a manifest that nobody has confirmed is trusted no longer than one too old

Cause: a node that had just started, or whose store answered a call about something else, took its manifest for confirmed at that moment. It also said that routes and keys do not exist by such a manifest. Change: where trust is bounded, it starts with the first proof; only a read of the manifest or a peer's proof renews it. An isolated node refuses as isolated (503) instead of as unknown (404, 401). Ruled out: asking the store once more at the start; the watch reads the manifest anyway. The three new tests fail on the code before.

--- a/core/call.go
+++ b/core/call.go
@@ -145,7 +145,7 @@
 	}
 	r := s.config.routes[e.Route]
 	if r == nil {
-		s.refuse(now, c, UnknownRoute)
+		s.refuse(now, c, s.unless(now, UnknownRoute))
 		return nil
 	}
 	timeout := r.Timeout.Duration
@@ -239,14 +239,19 @@
 		c.weight = s.config.meanRate
 		return true
 	}
-	if e.Keyed && s.isolated(now) {
-		s.refuse(now, c, Isolated)
-		return false
-	}
-	s.refuse(now, c, UnknownKey)
+	s.refuse(now, c, s.unless(now, UnknownKey))
 	return false
 }
 
+// unless returns a reason that the manifest gives, or Isolated where a newer manifest
+// may say otherwise.
+func (s *State) unless(now time.Time, why Reason) Reason {
+	if s.isolated(now) {
+		return Isolated
+	}
+	return why
+}
+
 // identify marks a call that must run at most once among its own repeats.
 func (s *State) identify(c *call, repeat uint64) {
 	if c.once && repeat != 0 {
--- a/core/proof.go
+++ b/core/proof.go
@@ -13,6 +13,9 @@
 	// followAfter is that age for a node that gets a proof from the planner with each
 	// plan: it asks itself only when those have failed to come for a while.
 	followAfter = 2 * time.Second
+	// longAgo stands for the age of a proof that a node has never had; no bound on the
+	// withdrawal of keys is as long.
+	longAgo = time.Hour
 )
 
 // verify asks the store when no peer has confirmed the manifest lately.
--- a/core/proof_test.go
+++ b/core/proof_test.go
@@ -125,3 +125,49 @@
 		t.Errorf("%d calls in %d s, want at most %d", asked, seconds, limit)
 	}
 }
+
+// TestFreshNodeTrustsNoManifestThatNobodyConfirmed plays a node that starts again
+// behind a cut and gets its manifest from a peer that is cut off as well.
+func TestFreshNodeTrustsNoManifestThatNobodyConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Settings{Self: testMember(0), Seed: 1, Revoke: testRevoke})
+	s.Step(now, &Received{From: "n1", Body: &Config{Manifest: testManifest(0, 1)}})
+	if why := keyed(s, now, 1); why != Isolated {
+		t.Errorf("got %s, want %s: the manifest may be as old as it likes", why, Isolated)
+	}
+	if s.Ready(now) {
+		t.Error("ready without a proof of the manifest")
+	}
+	s.Step(now, &Received{From: "n1", Body: &Proof{Version: 1, Age: time.Second}})
+	if why := keyed(s, now, 2); why != NoReason {
+		t.Errorf("refused with %s after a proof", why)
+	}
+}
+
+// TestStoreThatAnswersProvesNoManifest plays a store that is back and has answered a
+// call about something else than the manifest.
+func TestStoreThatAnswersProvesNoManifest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	later := now.Add(testRevoke + time.Second)
+	s.Step(later, &StoreUp{Up: true})
+	if why := keyed(s, later, 1); why != Isolated {
+		t.Errorf("got %s, want %s: a withdrawn key may be in the manifest", why, Isolated)
+	}
+}
+
+// TestUnknownRouteOfAnOldManifest: a node that cannot show that its manifest is the
+// newest one does not say that a route or key does not exist.
+func TestUnknownRouteOfAnOldManifest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	for _, c := range []struct {
+		at   time.Time
+		want Reason
+	}{{now, UnknownRoute}, {now.Add(testRevoke + time.Second), Isolated}} {
+		e := s.Step(c.at, &Arrive{Call: CallID(c.at.UnixNano()), Route: "added", Timeout: time.Second})
+		if len(e.Verdicts) != 1 || e.Verdicts[0].Reason != c.want {
+			t.Errorf("got %+v, want a refusal with %s", e.Verdicts, c.want)
+		}
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -143,6 +143,9 @@
 
 func (s *State) start(now time.Time) {
 	s.started, s.asOf = now, now
+	if s.revoke > 0 {
+		s.asOf = now.Add(-longAgo) // a manifest that comes from a peer may be old
+	}
 	s.self.Closed = s.target.announced
 	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimEvery), now
 	s.routes.Put(now, s.endpoint(s.self, false), false)
--- a/core/store.go
+++ b/core/store.go
@@ -60,7 +60,7 @@
 		s.notice(Notice{Kind: kind})
 	}
 	s.store = up
-	if up {
+	if up && s.revoke == 0 {
 		s.asOf = now
 	}
 }
