--- a/core/attempt.go
+++ b/core/attempt.go
@@ -34,7 +34,7 @@
 // go to the first endpoint in the key's order, so that repeats meet there.
 func (s *State) choose(now time.Time, c *call, without string) *route.Endpoint {
 	if c.identity.Key == 0 {
-		return s.routes.Pick(now, c.service, mix(uint64(c.id)), without)
+		return s.routes.Pick(now, c.service, spreadBits(uint64(c.id)), without)
 	}
 	for _, e := range s.routes.Ranked(c.service, c.identity.Key) {
 		if !e.Draining && !e.Silent && e.Name != without {
--- a/core/call.go
+++ b/core/call.go
@@ -172,7 +172,7 @@
 	for _, p := range parts {
 		total += p.Weight
 	}
-	draw := float64(mix(uint64(id))>>11) / (1 << 53) * total
+	draw := float64(spreadBits(uint64(id))>>11) / (1 << 53) * total
 	for _, p := range parts {
 		if draw -= p.Weight; draw < 0 {
 			return p.Service
@@ -224,7 +224,7 @@
 // rankHash draws a rank from the identity of a root call, the same at whichever
 // node it enters. The salt keeps callers from choosing identities that rank high.
 func (s *State) rankHash(seed uint64) uint16 {
-	return uint16(mix(seed^s.config.salt) % admit.HashBuckets)
+	return uint16(spreadBits(seed^s.config.salt) % admit.HashBuckets)
 }
 
 // authorize finds the workspace whose key came with the call.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -95,8 +95,7 @@
 
 // jitter spreads a period by a fifth to either side.
 func (s *State) jitter(d time.Duration) time.Duration {
-	span := uint64(d) * 2 / 5
-	return d*4/5 + time.Duration(s.next()%span)
+	return d*4/5 + time.Duration(s.random.Int64N(int64(d*2/5)))
 }
 
 func (s *State) send(to string, m Message) {
@@ -137,7 +136,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	start := int(s.next() % uint64(len(peers)))
+	start := s.random.IntN(len(peers))
 	for i := 0; i < len(peers) && n > 0; i++ {
 		p := &peers[(start+i)%len(peers)]
 		if p.Silent {
@@ -154,7 +153,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	start := int(s.next() % uint64(len(peers)))
+	start := s.random.IntN(len(peers))
 	for i := range peers {
 		if p := &peers[(start+i)%len(peers)]; p.Silent {
 			s.send(p.Name, s.sync(now, 0, 0))
--- a/core/state.go
+++ b/core/state.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"encoding/binary"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryshelf/core/admit"
 	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
@@ -15,7 +19,7 @@
 type Settings struct {
 	Self  member.Member
 	Seeds []netip.AddrPort // control addresses of nodes to join through
-	Seed  uint64           // starts the pseudo-random choice of gossip partners
+	Seed  uint64           // starts the pseudo-random choices
 	// Heartbeats says that the local target announces itself. Until it has, it is
 	// given no work.
 	Heartbeats bool
@@ -34,7 +38,7 @@
 type State struct {
 	self    member.Member
 	seeds   []netip.AddrPort
-	random  uint64
+	random  *rand.Rand
 	started time.Time
 
 	config    *config
@@ -81,7 +85,7 @@
 	return &State{
 		self:      set.Self,
 		seeds:     set.Seeds,
-		random:    set.Seed,
+		random:    rand.New(rand.NewPCG(set.Seed, 0)),
 		calls:     map[CallID]*call{},
 		named:     map[string]*call{},
 		allowance: retry.NewAllowance(set.Retries),
@@ -160,17 +164,11 @@
 	}
 }
 
-// next returns a pseudo-random number from the seed (splitmix64).
-func (s *State) next() uint64 {
-	s.random += 0x9e3779b97f4a7c15
-	return mix(s.random)
-}
-
-// mix spreads the bits of a number over the whole word.
-func mix(z uint64) uint64 {
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
+// spreadBits returns a hash of a number, alike at all nodes.
+func spreadBits(n uint64) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	return xxhash.Sum64(b[:])
 }
 
 func (s *State) notice(n Notice) {
--- a/core/store.go
+++ b/core/store.go
@@ -217,7 +217,7 @@
 
 // suitability orders candidates: the preferred domain first, then by hash.
 func (s *State) suitability(m member.Member, shard quota.Shard, domain string) uint64 {
-	h := mix(xxhash.Sum64String(shard.Workspace+"/"+m.Name)+uint64(shard.Index)) >> 1
+	h := spreadBits(xxhash.Sum64String(shard.Workspace+"/"+m.Name)+uint64(shard.Index)) >> 1
 	if m.Domain == domain {
 		h |= 1 << 63
 	}
@@ -295,7 +295,7 @@
 	if len(peers) == 0 {
 		return ""
 	}
-	start := int(s.next() % uint64(len(peers)))
+	start := s.random.IntN(len(peers))
 	for i := range peers {
 		if p := &peers[(start+i)%len(peers)]; !p.Silent {
 			return p.Name
