core: the target of a leaving node works on while callers are let in

Cause: a node that is told to stop closed its target to other nodes at once, but stayed 2.2 s and longer for its own callers. Ruled out: heartbeats missing after the restart (the endpoint asks again at once). Change: Drain names two times; the node gives up shards and planning at once, its target at the end of the callers' grace. What waits then is sent elsewhere as not run. The new test fails before: a call 1 ms before the end was refused.

--- a/core/call.go
+++ b/core/call.go
@@ -371,7 +371,7 @@
 	switch {
 	case p.Target != s.self.Name:
 		s.refuse(now, c, WrongTarget)
-	case s.self.Draining, s.self.Closed:
+	case s.self.Closed:
 		s.refuse(now, c, Draining)
 	default:
 		c.endpoint = s.routes.Find(s.self.Service, s.self.Name)
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -30,3 +30,48 @@
 		t.Errorf("a call for one that still runs got %s, reason %s", v.Action, v.Reason)
 	}
 }
+
+// TestLeavingNodeKeepsItsTargetAtWork: while callers are let in, the node cannot end,
+// and its target serves other nodes. After that queued calls are sent elsewhere.
+func TestLeavingNodeKeepsItsTargetAtWork(t *testing.T) {
+	const open = 2 * time.Second
+	now := time.Unix(1000, 0)
+	s := New(Settings{Self: testMember(0), Seed: 1, Plans: true, Heartbeats: true})
+	s.Step(now, &ManifestSeen{Manifest: openManifest()})
+	s.Step(now, &MemberSeen{Member: testMember(1)})
+	s.Step(now, &TargetSeen{Heartbeat: Heartbeat{ID: "t", Began: 1, Sequence: 1, Slots: 1}})
+	s.Step(now, &Drain{Shut: open, Open: open})
+	if s.Ready(now) {
+		t.Error("a leaving node says that it is ready")
+	}
+	arrive := func(at time.Duration, call CallID) Verdict {
+		a := &Arrive{Call: call, Origin: FromNode, Pass: Pass{Target: "n0", Route: "map", Timeout: time.Minute}}
+		if v := s.Step(now.Add(at), a).Verdicts; len(v) == 1 {
+			return v[0]
+		}
+		return Verdict{}
+	}
+	if v := arrive(open-time.Millisecond, 1); v.Action != Run {
+		t.Errorf("a call in time got %s, reason %s", v.Action, v.Reason)
+	}
+	arrive(open-time.Millisecond, 2) // waits for the only slot
+	e := s.Step(now.Add(open), &Tick{})
+	if len(e.Verdicts) != 1 || e.Verdicts[0].Call != 2 || e.Verdicts[0].Reason != Draining || e.Verdicts[0].Ran != RanNo {
+		t.Errorf("the call that waited got %+v", e.Verdicts)
+	}
+	told := false
+	for _, m := range e.Envelopes {
+		sync, ok := m.Body.(*Sync)
+		told = told || ok && m.To == "n1" && sync.Self.Closed
+	}
+	if !told {
+		t.Error("the peer was not told that the target takes no more calls")
+	}
+	if v := arrive(open+time.Millisecond, 3); v.Action != Refuse || v.Reason != Draining {
+		t.Errorf("a late call got %s, reason %s", v.Action, v.Reason)
+	}
+	s.Step(now.Add(open), &TargetSeen{Heartbeat: Heartbeat{ID: "t", Began: 1, Sequence: 2, Slots: 1}})
+	if v := arrive(open+2*time.Millisecond, 4); v.Action != Refuse {
+		t.Errorf("a call after a further heartbeat got %s", v.Action)
+	}
+}
--- a/core/event.go
+++ b/core/event.go
@@ -111,6 +111,8 @@
 	// close by themselves.
 	Shut time.Duration
 }
+	// Open is for how long the local target still gets calls of other nodes.
+	Open time.Duration
 
 // LeaseHeld says that the store lease is certainly held until the given time.
 type LeaseHeld struct {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -52,6 +52,9 @@
 		s.turnAway(now, s.calls[CallID(it.Call)], DeadlinePassed)
 	}
 	s.pump(now)
+	if s.self.Draining && !s.target.left && !now.Before(s.closing) {
+		s.closeTarget(now)
+	}
 	s.overdueRecords(now)
 	s.tickQuota(now)
 	s.verify(now)
@@ -301,23 +304,40 @@
 	s.notice(Notice{Kind: kind, Peer: name})
 }
 
-// drain starts the node's departure.
-func (s *State) drain(now time.Time, shut time.Duration) {
+// drain starts the node's departure. What only it does for the fleet goes to others at
+// once; its target works on for as long as callers are let in, since what they ask for
+// keeps the node from ending anyway.
+func (s *State) drain(now time.Time, e *Drain) {
 	if s.self.Draining {
 		return
 	}
-	if shut > 0 {
-		s.shut = now.Add(shut)
+	if e.Shut > 0 {
+		s.shut = now.Add(e.Shut)
 	}
 	s.self.Draining = true
-	s.announce()
-	s.routes.Put(now, s.endpoint(s.self, false), false)
+	s.closing = now.Add(e.Open)
+	if e.Open > 0 {
+		s.announce()
+		s.tell(now)
+	} else {
+		s.closeTarget(now)
+	}
 	for _, shard := range s.owner.Shards() {
 		s.yield(shard)
 	}
 	s.handOver()
+	s.notice(Notice{Kind: DrainStarted})
+}
+
+// closeTarget ends the flow of calls to the target of a leaving node.
+func (s *State) closeTarget(now time.Time) {
+	s.target.left = true
+	s.targetChanged(now)
+}
+
+// tell sends every peer a Sync.
+func (s *State) tell(now time.Time) {
 	for _, p := range s.peers.All() {
 		s.send(p.Name, s.sync(now, 0, 0))
 	}
-	s.notice(Notice{Kind: DrainStarted})
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -17,7 +17,7 @@
 	Incarnation uint64         `json:"inc"`              // rises with each start of the process
 	Revision    uint64         `json:"rev"`              // rises with each change of the announcement
 	Version     uint64         `json:"version"`          // manifest in force
-	Draining    bool           `json:"drain,omitempty"`  // the node is leaving
+	Draining    bool           `json:"drain,omitempty"`  // the node is leaving: it owns and plans nothing
 	Closed      bool           `json:"closed,omitempty"` // the target takes no work
 	Slots       int            `json:"slots,omitempty"`  // calls the target runs at once, 0 if it did not say
 	Began       int64          `json:"began,omitempty"`  // start of the target, in milliseconds since 1970
--- a/core/planning.go
+++ b/core/planning.go
@@ -89,7 +89,7 @@
 	s.gauge(now)
 	p.learner.Fade(passed)
 	r := plan.Report{Demand: p.meter.Take(now), Rows: p.learner.Rows()}
-	if !s.self.Closed && !s.self.Draining {
+	if !s.self.Closed {
 		r.Load = plan.Load{
 			Service: s.self.Service, Slots: float64(s.gate.Limit()),
 			Busy: p.busy / passed.Seconds(), Queued: p.queued / passed.Seconds(),
--- a/core/state.go
+++ b/core/state.go
@@ -61,6 +61,7 @@
 	revoke  time.Duration
 	greeted bool
 	shut    time.Time // calls are let in until then, if the node is leaving
+	closing time.Time // the target gets calls until then, if the node is leaving
 	plans   bool
 	target  targetState
 
@@ -134,7 +135,7 @@
 		s.revoke = e.Revoke
 		s.allowance.Bind(e.Retries)
 	case *Drain:
-		s.drain(now, e.Shut)
+		s.drain(now, e)
 	case *TargetSeen:
 		s.targetSeen(now, e.Heartbeat)
 	case *TargetGone:
@@ -159,7 +160,7 @@
 func (s *State) endpoint(m member.Member, silent bool) route.Endpoint {
 	return route.Endpoint{
 		Name: m.Name, Service: m.Service, Domain: m.Domain, Node: m.Node,
-		Local: m.Name == s.self.Name, Draining: m.Draining || m.Closed, Silent: silent,
+		Local: m.Name == s.self.Name, Draining: m.Closed, Silent: silent,
 		Slots: m.Slots, Began: m.Began,
 	}
 }
--- a/core/target.go
+++ b/core/target.go
@@ -26,11 +26,12 @@
 	last      Heartbeat
 	heard     bool
 	gone      bool
+	left      bool // its node is leaving and gives it no more work
 }
 
 // open reports whether the target may be given work.
 func (t *targetState) open() bool {
-	return !t.announced || t.heard && !t.gone && !t.last.Draining
+	return !t.left && (!t.announced || t.heard && !t.gone && !t.last.Draining)
 }
 
 // targetSeen takes in a heartbeat. One that was overtaken by a later one, or by
@@ -71,7 +72,11 @@
 	s.gate.Declare(s.self.Slots)
 	s.routes.Put(now, s.endpoint(s.self, false), false)
 	s.announce()
-	s.spread(now, spreadFanout)
+	if t.left {
+		s.tell(now)
+	} else {
+		s.spread(now, spreadFanout)
+	}
 	if s.self.Closed != before.Closed {
 		kind := TargetOpened
 		if s.self.Closed {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,7 @@
 	Target     target.Config
 	Grace      time.Duration // from the start of leaving until callers' sides close
 	Shut       time.Duration // from the start of leaving until calls are refused, 0 if never
+	Open       time.Duration // from the start of leaving until the target gets no more calls
 	Limit      time.Duration // from the start of leaving until calls are given up
 }
 
@@ -238,7 +239,7 @@
 	defer cancel()
 	a.Log.Info("leaving", "grace", a.Grace, "limit", a.Limit)
 	a.leaving.Store(true)
-	a.loop.Post(&core.Drain{Shut: a.Shut})
+	a.loop.Post(&core.Drain{Shut: a.Shut, Open: a.Open})
 	time.Sleep(a.Grace)
 	err := a.finish(ctx)
 	bye, cancelBye := context.WithTimeout(context.Background(), byeTimeout)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -78,7 +78,7 @@
 		Lease:   s.Store.Lease.Duration,
 		Dialect: func(*caller.Router) relay.Dialect { return dialect },
 		Target:  target.Config{Address: s.Target, Verifier: dialect},
-		Grace:   leaveGrace, Shut: time.Duration(shutShare * float64(s.Limit.Duration)), Limit: time.Duration(leaveShare * float64(s.Limit.Duration)),
+		Grace:   leaveGrace, Open: leaveGrace, Shut: time.Duration(shutShare * float64(s.Limit.Duration)), Limit: time.Duration(leaveShare * float64(s.Limit.Duration)),
 	})
 	a.Add(agent.Side{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.Calls(core.FromEither))})
 	registry := platform.Registry{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
