core: what calls cost is kept in the store

Cause: after a stop of the whole fleet the first planner knows nothing of what calls cost; until runs have succeeded it holds nothing back, and under overload few succeed.

--- a/core/effect.go
+++ b/core/effect.go
@@ -7,6 +7,7 @@
 	"celeryshelf/core/admit"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
+	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 )
 
@@ -131,10 +132,16 @@
 // Verify asks for the store's newest manifest.
 type Verify struct{}
 
-func (*Verify) request()   {}
-func (*Announce) request() {}
-func (*Claim) request()    {}
-func (*Release) request()  {}
+// SaveCosts writes what calls cost, for planners that start with nothing.
+type SaveCosts struct {
+	Rows []plan.Row
+}
+
+func (*Verify) request()    {}
+func (*Announce) request()  {}
+func (*Claim) request()     {}
+func (*Release) request()   {}
+func (*SaveCosts) request() {}
 
 // NoticeKind tells what a notice reports.
 type NoticeKind uint8
--- a/core/event.go
+++ b/core/event.go
@@ -6,6 +6,7 @@
 	"celeryshelf/core/admit"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
+	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
 )
@@ -110,9 +111,9 @@
 	// Shut is for how long the node still lets calls in, 0 if its callers' sides
 	// close by themselves.
 	Shut time.Duration
-}
 	// Open is for how long the local target still gets calls of other nodes.
 	Open time.Duration
+}
 
 // LeaseHeld says that the store lease is certainly held until the given time.
 type LeaseHeld struct {
@@ -138,6 +139,12 @@
 	Manifest *manifest.Versioned // nil if there is none
 	Members  []member.Member
 	Shards   []ShardRecord
+	Costs    []plan.Row // see CostsSeen
+}
+
+// CostsSeen says what the store holds of what calls cost, as the planner last knew it.
+type CostsSeen struct {
+	Rows []plan.Row
 }
 
 // ManifestSeen says that the store holds a manifest.
@@ -219,5 +226,6 @@
 func (*ShardSeen) event()    {}
 func (*ShardGone) event()    {}
 func (*ClaimDone) event()    {}
+func (*CostsSeen) event()    {}
 func (*Received) event()     {}
 func (*PeerReach) event()    {}
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -133,6 +133,42 @@
 	return rows
 }
 
+// Recall takes in what calls cost as an earlier planner knew it. What this one knows
+// already stands.
+func (p *Planner) Recall(now time.Time, rows []Row) {
+	for _, r := range rows {
+		if _, ok := p.known[r.Route]; !ok {
+			p.known[r.Route] = remembered{row: r, at: now}
+		}
+	}
+}
+
+// Costs returns what calls cost as far as it is known from successful runs, in order of
+// route.
+func (p *Planner) Costs() []Row {
+	out := make([]Row, 0, len(p.known))
+	for _, route := range slices.Sorted(maps.Keys(p.known)) {
+		out = append(out, p.known[route].row)
+	}
+	return out
+}
+
+// similar bounds the ratio of two figures that are taken as the same: plans are
+// corrected by feedback within that.
+const similar = 1.3
+
+// Differ reports whether two accounts of what calls cost lead to different plans.
+func Differ(a, b []Row) bool {
+	return !slices.EqualFunc(a, b, func(x, y Row) bool {
+		return x.Route == y.Route && near(x.Hold.Seconds(), y.Hold.Seconds()) &&
+			slices.EqualFunc(x.Calls, y.Calls, func(c, d Calls) bool {
+				return c.Route == d.Route && near(c.Times, d.Times)
+			})
+	})
+}
+
+func near(x, y float64) bool { return x <= y*similar && y <= x*similar }
+
 // rows merges what nodes have learned of each route, weighted by the runs seen.
 func (p *Planner) rows() map[string]Row {
 	sums := map[string]*Row{}
--- a/core/planning.go
+++ b/core/planning.go
@@ -20,6 +20,10 @@
 	plannerSeed    = "planner/"
 	// tellEvery is how often the planner's work is logged.
 	tellEvery = 1 * time.Second
+	// saveEvery bounds how often the costs of calls are written to the store: each time
+	// every node hears of it. The first time they have had saveAfter to settle.
+	saveEvery = 15 * time.Second
+	saveAfter = 3 * time.Second
 )
 
 type keepKey struct {
@@ -43,6 +47,9 @@
 
 	longest map[string]time.Duration // time that callers allow, by route
 
+	costs []plan.Row // what the store holds of what calls cost
+	save  time.Time  // when they may be written again
+
 	busy, queued float64 // slot-seconds since the last report
 	gauged       time.Time
 	faded        time.Time
@@ -106,9 +113,9 @@
 	}
 	name := s.plannerName(now)
 	if name == s.self.Name {
-		s.planner().Take(now, name, r)
+		s.planner(now).Take(now, name, r)
 		s.work(now)
-		s.takePlan(now, s.planner().Plan())
+		s.takePlan(now, s.planner(now).Plan())
 		return
 	}
 	if p.asked.IsZero() {
@@ -143,9 +150,10 @@
 	return best
 }
 
-func (s *State) planner() *plan.Planner {
+func (s *State) planner(now time.Time) *plan.Planner {
 	if s.planning.planner == nil {
 		s.planning.planner = plan.NewPlanner()
+		s.planning.planner.Recall(now, s.planning.costs)
 	}
 	return s.planning.planner
 }
@@ -156,10 +164,37 @@
 		return
 	}
 	s.planning.worked = now
-	s.planner().Work(now, s.shares)
+	s.planner(now).Work(now, s.shares)
+	s.saveCosts(now)
 	if now.Sub(s.planning.told) >= tellEvery {
 		s.planning.told = now
-		s.notice(Notice{Kind: Planned, Detail: s.planner().Describe()})
+		s.notice(Notice{Kind: Planned, Detail: s.planner(now).Describe()})
+	}
+}
+
+// saveCosts writes what calls cost to the store once it is much different from what is
+// there, so that after a stop of the whole fleet the first plan does not need to learn.
+func (s *State) saveCosts(now time.Time) {
+	p := &s.planning
+	if p.save.IsZero() {
+		p.save = now.Add(saveAfter)
+	}
+	if now.Before(p.save) || !s.store || !plan.Differ(p.costs, p.planner.Costs()) {
+		return
+	}
+	p.save = now.Add(saveEvery)
+	p.costs = p.planner.Costs()
+	s.effects.Requests = append(s.effects.Requests, &SaveCosts{Rows: p.costs})
+}
+
+// costsSeen takes in what the store holds of what calls cost.
+func (s *State) costsSeen(now time.Time, rows []plan.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	s.planning.costs = rows
+	if s.planning.planner != nil {
+		s.planning.planner.Recall(now, rows)
 	}
 }
 
@@ -182,9 +217,9 @@
 
 // receiveReport takes in another node's report and answers with the plan.
 func (s *State) receiveReport(now time.Time, from string, m *Report) {
-	s.planner().Take(now, from, m.Report)
+	s.planner(now).Take(now, from, m.Report)
 	s.work(now)
-	s.send(from, &Plan{Proof: s.proof(now, m.Clock), Keeps: s.planner().Plan()})
+	s.send(from, &Plan{Proof: s.proof(now, m.Clock), Keeps: s.planner(now).Plan()})
 }
 
 func (s *State) takePlan(now time.Time, keeps []plan.Keep) {
--- a/core/store.go
+++ b/core/store.go
@@ -46,6 +46,8 @@
 		s.shardSeen(e.ShardRecord)
 	case *ShardGone:
 		s.shardGone(now, e.Shard)
+	case *CostsSeen:
+		s.costsSeen(now, e.Rows)
 	case *ClaimDone:
 		s.claimDone(now, e)
 	}
@@ -80,6 +82,7 @@
 		s.hear(now, m)
 	}
 	s.greet(now)
+	s.costsSeen(now, e.Costs)
 	clear(s.shards)
 	clear(s.hints)
 	for _, r := range e.Shards {
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -30,7 +30,7 @@
 	// Watch reports the changes under a prefix from a revision on, until the
 	// context ends or the watch breaks. It may let changes gather for some time.
 	Watch(ctx context.Context, prefix string, from int64, gather time.Duration, report func(Change, int64)) error
-	// Put writes a value under a lease.
+	// Put writes a value under a lease, 0 for none.
 	Put(ctx context.Context, key string, value []byte, lease int64) error
 	// Create writes a value if neither its key nor any rival exists, and reports
 	// whether it did.
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
+	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 )
 
@@ -47,6 +48,10 @@
 
 func (l Layout) member(name string) string { return l.Prefix + "member/" + name }
 
+const costsKind = "costs"
+
+func (l Layout) costs() string { return l.Prefix + costsKind }
+
 func (l Layout) shard(s quota.Shard) string {
 	return fmt.Sprintf("%squota/%d.%d/%s", l.Prefix, s.Count, s.Index, s.Workspace)
 }
@@ -74,6 +79,8 @@
 		return memberEvent(rest, c)
 	case "quota":
 		return shardEvent(rest, c)
+	case costsKind:
+		return costsEvent(c)
 	default:
 		return nil, nil
 	}
@@ -116,6 +123,18 @@
 	return &core.ShardSeen{ShardRecord: core.ShardRecord{Shard: s, Owner: v.Owner}}, nil
 }
 
+// costsEvent reads what calls cost. A value that is gone changes nothing.
+func costsEvent(c Change) (core.Event, error) {
+	if c.Deleted {
+		return nil, nil
+	}
+	var rows []plan.Row
+	if err := json.Unmarshal(c.Value, &rows); err != nil {
+		return nil, fmt.Errorf("decode costs: %w", err)
+	}
+	return &core.CostsSeen{Rows: rows}, nil
+}
+
 // parseShard reads "count.index/workspace".
 func parseShard(text string) (quota.Shard, error) {
 	split, workspace, ok := strings.Cut(text, "/")
--- /dev/null
+++ b/io/store/layout_test.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/plan"
+)
+
+func TestCostsInTheStore(t *testing.T) {
+	rows := []plan.Row{{Route: "map", Hold: time.Second, Runs: 3, Calls: []plan.Calls{{Route: "table", Times: 2.5}}}}
+	value, err := json.Marshal(rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewLayout("shelf/")
+	e, err := l.event(Change{Key: l.costs(), Value: value})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, ok := e.(*core.CostsSeen); !ok || !reflect.DeepEqual(got.Rows, rows) {
+		t.Errorf("got %+v, want the rows that were written", e)
+	}
+	if e, err := l.event(Change{Key: l.costs(), Deleted: true}); e != nil || err != nil {
+		t.Errorf("got %v, %v for costs that are gone, want nothing", e, err)
+	}
+	if _, err := l.event(Change{Key: l.costs(), Value: []byte("{")}); err == nil {
+		t.Error("no error for a value that cannot be read")
+	}
+}
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"celeryshelf/core"
+	"celeryshelf/core/plan"
 )
 
 const (
@@ -241,6 +242,8 @@
 		case *core.MemberSeen:
 			out.Members = append(out.Members, e.Member)
 		case *core.ShardSeen:
+		case *core.CostsSeen:
+			out.Costs = e.Rows
 			out.Shards = append(out.Shards, e.ShardRecord)
 		}
 	}
@@ -349,6 +352,8 @@
 	case *core.Verify:
 		err = s.verify(ctx)
 	}
+	case *core.SaveCosts:
+		err = s.saveCosts(ctx, r.Rows)
 	if err != nil && ctx.Err() == nil {
 		s.Warner.Warn(err)
 	}
@@ -373,6 +378,18 @@
 }
 
 func (s *Session) announce(ctx context.Context, r *core.Announce) error {
+// saveCosts writes without a lease: the value is there for a fleet that has ended.
+func (s *Session) saveCosts(ctx context.Context, rows []plan.Row) error {
+	value, err := json.Marshal(rows)
+	if err != nil {
+		return fmt.Errorf("encode costs: %w", err)
+	}
+	if err := s.Client.Put(ctx, s.Layout.costs(), value, 0); err != nil {
+		return fmt.Errorf("save costs: %w", err)
+	}
+	return nil
+}
+
 	lease := s.current()
 	if lease == 0 {
 		return nil // announced once a lease is held
