io/store: news of nodes gathers for a second; net/http's lines in the log's format

Nodes and shards are told of by peers at once; only a takeover after a lost lease waits up to a second longer, beside the 4 s of the lease. net/http's own lines (a ping without an answer) came outside the log's format; they now go through the structured logger.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -64,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	slog.SetDefault(log) // net/http reports through the standard logger
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	dialect := platform.Dialect{Service: s.Service}
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -25,8 +25,9 @@
 	maxPause    = 1600 * time.Millisecond
 	requestRoom = 256
 	// gatherFor lets news of nodes and shards gather where every answer to a watch
-	// is paid for; nodes hear of each other from peers as well.
-	gatherFor = 250 * time.Millisecond
+	// is paid for: a fleet that starts makes changes for some seconds. Nodes hear of
+	// each other and of shards from peers as well.
+	gatherFor = 1 * time.Second
 )
 
 // Sink takes in what the store says; it must not block for long.
@@ -241,9 +242,9 @@
 			out.Manifest = &e.Manifest
 		case *core.MemberSeen:
 			out.Members = append(out.Members, e.Member)
-		case *core.ShardSeen:
 		case *core.CostsSeen:
 			out.Costs = e.Rows
+		case *core.ShardSeen:
 			out.Shards = append(out.Shards, e.ShardRecord)
 		}
 	}
@@ -351,9 +352,9 @@
 		_, err = s.Client.DeleteValue(ctx, s.Layout.shard(r.Shard), s.claimValue(s.current()))
 	case *core.Verify:
 		err = s.verify(ctx)
-	}
 	case *core.SaveCosts:
 		err = s.saveCosts(ctx, r.Rows)
+	}
 	if err != nil && ctx.Err() == nil {
 		s.Warner.Warn(err)
 	}
@@ -377,7 +378,6 @@
 	return nil
 }
 
-func (s *Session) announce(ctx context.Context, r *core.Announce) error {
 // saveCosts writes without a lease: the value is there for a fleet that has ended.
 func (s *Session) saveCosts(ctx context.Context, rows []plan.Row) error {
 	value, err := json.Marshal(rows)
@@ -390,6 +390,7 @@
 	return nil
 }
 
+func (s *Session) announce(ctx context.Context, r *core.Announce) error {
 	lease := s.current()
 	if lease == 0 {
 		return nil // announced once a lease is held
