core/plan: plans correct their costs sooner

Change: up by a power of how much too little is used, 8 % at most; down by 4 % of the queue's share of the slots.

--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -17,14 +18,18 @@
 	// taken to have let in too much; below idle use it let in too little.
 	crowded = 0.20
 	idle    = 0.94
-	far     = 0.75
-	// trimDown and trimUp correct a service's capacity at each plan, within leastTrim
-	// and mostTrim.
-	trimDown  = 0.98
-	trimUp    = 1.01
-	trimFar   = 1.03 // where less than far of the slots is used
+	// A service's capacity is corrected at each plan, within leastTrim and mostTrim:
+	// down by trimDown of the queue's share of the slots, up by the power trimUp of how
+	// much too little is used, by mostStep at most. What is let in shows three plans
+	// later; twice these gains make it swing.
+	trimDown  = 0.04
+	trimUp    = 0.1
+	mostStep  = 1.08
 	leastTrim = 0.6
-	mostTrim  = 1.2
+	mostTrim  = 2.5
+	// trimFade is the part of a correction that is forgotten at each plan that holds
+	// nothing back for the service.
+	trimFade = 0.02
 	// leastShare of the callers of every class are let in, so that none is starved;
 	// of calls it is less where callers come back.
 	leastShare = 0.25
@@ -248,13 +253,15 @@
 		}
 		switch {
 		case t.Queued > crowded*t.Slots:
-			trim = max(leastTrim, trim*trimDown)
-		case t.Busy < far*t.Slots && p.binding[service]:
-			trim = min(mostTrim, trim*trimFar)
-		case t.Busy < idle*t.Slots && p.binding[service]:
-			trim = min(mostTrim, trim*trimUp)
+			trim = max(leastTrim, trim*(1-trimDown*min(1, t.Queued/t.Slots)))
 		case !p.binding[service]:
-			trim += (1 - trim) * (1 - trimDown)
+			trim += (1 - trim) * trimFade
+		case t.Busy < idle*t.Slots:
+			step := mostStep
+			if t.Busy > 0 {
+				step = min(mostStep, math.Pow(idle*t.Slots/t.Busy, trimUp))
+			}
+			trim = min(mostTrim, trim*step)
 		}
 		p.trim[service] = trim
 		out[service] = full * trim * t.Slots
