core: two nodes of a domain watch the store and tell the others

Every node's watch of the nodes' own records answered whenever any node or shard changed. Change: the first two live nodes of each domain, in an order all draw alike, watch; they tell the others of shards that nobody holds, owners tell of those they hold, in batches (News replaces Held). A node whose owner does not grant asks a watcher (Look). Nodes are known by gossip as before. Every node still reads all records when it starts, and still watches the manifest itself: that bound is 2 s. Ruled out: stale reads at long intervals (each answer holds all records); fewer watchers of the manifest (a cut watcher would put the bound at risk).

--- a/core/effect.go
+++ b/core/effect.go
@@ -132,6 +132,13 @@
 // Verify asks for the store's newest manifest.
 type Verify struct{}
 
+// Watch starts or ends following the store's records of nodes and shards.
+type Watch struct {
+	On bool
+}
+
+func (*Watch) request() {}
+
 // SaveCosts writes what calls cost, for planners that start with nothing.
 type SaveCosts struct {
 	Rows []plan.Row
--- a/core/event.go
+++ b/core/event.go
@@ -130,8 +130,8 @@
 
 // ShardRecord is the store's record of who owns a shard.
 type ShardRecord struct {
-	Shard quota.Shard
-	Owner string
+	Shard quota.Shard `json:"shard"`
+	Owner string      `json:"owner"`
 }
 
 // Snapshot is the whole content of the store.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -57,6 +57,7 @@
 	}
 	s.overdueRecords(now)
 	s.tickQuota(now)
+	s.tellNews(now)
 	s.verify(now)
 	if s.plans {
 		s.report(now)
@@ -86,6 +87,7 @@
 }
 
 func (s *State) sweep(now time.Time) {
+	s.reviewWatch(now)
 	s.allowance.Share(1 + len(s.peers.All()))
 	s.levels.Sweep(now)
 	s.ledger.Sweep(now)
@@ -215,8 +217,10 @@
 // receiveQuota takes in a message about tokens and their owners.
 func (s *State) receiveQuota(now time.Time, e *Received) {
 	switch m := e.Body.(type) {
-	case *Held:
-		s.hints[m.Shard] = e.From
+	case *News:
+		s.heardNews(now, m)
+	case *Look:
+		s.answerLook(e.From, m)
 	case *TokenAsk:
 		grant := s.owner.Grant(now, m.Ask)
 		s.send(e.From, &TokenGrant{Ask: m.Ask, Grant: grant, Clock: now.Sub(s.started)})
--- a/core/message.go
+++ b/core/message.go
@@ -49,8 +49,15 @@
 	Manifest manifest.Versioned `json:"manifest"`
 }
 
-// Held tells that the sender owns a shard, ahead of what the store reports.
-type Held struct {
+// News tells what has become of shards: owners tell of those that they hold, ahead of
+// the store, and nodes that watch the store of those that nobody holds.
+type News struct {
+	Held   []ShardRecord `json:"held,omitempty"`
+	Vacant []quota.Shard `json:"vacant,omitempty"`
+}
+
+// Look asks a node that watches the store who holds a shard. It answers with News.
+type Look struct {
 	Shard quota.Shard `json:"shard"`
 }
 
@@ -102,7 +109,8 @@
 func (*Plan) message()       {}
 func (*Fetch) message()      {}
 func (*Config) message()     {}
-func (*Held) message()       {}
+func (*News) message()       {}
+func (*Look) message()       {}
 func (*TokenAsk) message()   {}
 func (*TokenGrant) message() {}
 func (*Echo) message()       {}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -10,8 +10,9 @@
 // Grant is an owner's answer to an ask.
 type Grant struct {
 	Tokens int           `json:"n"`
-	Retry  time.Duration `json:"retry"` // when a token may be free, if Tokens is 0
-	Spare  float64       `json:"spare"` // share of the bucket that is left
+	Retry  time.Duration `json:"retry"`            // when a token may be free, if Tokens is 0
+	Spare  float64       `json:"spare"`            // share of the bucket that is left
+	Vacant bool          `json:"vacant,omitempty"` // the node that was asked does not own the shard
 }
 
 // bucket is one shard's token bucket.
@@ -80,7 +81,7 @@
 func (o *Owner) Count() int { return len(o.buckets) }
 
 // Unowned is the answer to an ask that no owner can be found for.
-func Unowned() Grant { return Grant{Retry: unownedPause} }
+func Unowned() Grant { return Grant{Retry: unownedPause, Vacant: true} }
 
 // Grant takes the tokens of an ask out of the shard's bucket, as far as there are
 // any beyond what the ask leaves. A shard that is not held, or whose lease has run
--- a/core/state.go
+++ b/core/state.go
@@ -26,6 +26,9 @@
 	// Plans says that calls are held back at the entry by a plan for the fleet
 	// instead of by the levels that come with answers.
 	Plans bool
+	// Watchers says that a few nodes follow the store's records of nodes and shards and
+	// tell the others.
+	Watchers bool
 	// Retries bounds further arrivals at each service over the whole fleet, where
 	// Plans is set.
 	Retries retry.Bound
@@ -66,6 +69,7 @@
 	target  targetState
 
 	planning planning
+	watch    watch
 
 	owner  *quota.Owner
 	holder *quota.Holder
@@ -104,6 +108,7 @@
 		revoke:    set.Revoke,
 		target:    targetState{announced: set.Heartbeats},
 		plans:     set.Plans,
+		watch:     watch{shared: set.Watchers, on: true},
 	}
 }
 
--- a/core/store.go
+++ b/core/store.go
@@ -45,6 +45,9 @@
 	case *ShardSeen:
 		s.shardSeen(e.ShardRecord)
 	case *ShardGone:
+		if s.watch.shared {
+			s.watch.vacant = append(s.watch.vacant, e.Shard)
+		}
 		s.shardGone(now, e.Shard)
 	case *CostsSeen:
 		s.costsSeen(now, e.Rows)
@@ -242,9 +245,8 @@
 	}
 	s.owner.Acquire(now, e.Shard, allowance(s.config.workspaces[e.Shard.Workspace]))
 	s.notice(Notice{Kind: ShardAcquired, Shard: e.Shard})
-	for _, p := range s.peers.All() {
-		s.send(p.Name, &Held{Shard: e.Shard})
-	}
+	s.watch.held = append(s.watch.held, ShardRecord{Shard: e.Shard, Owner: s.self.Name})
+	s.tellNews(now)
 }
 
 // ask carries the holder's asks to the shards' owners, this node included.
@@ -325,6 +327,9 @@
 
 // granted hands tokens to the calls that wait for them.
 func (s *State) granted(now time.Time, a quota.Ask, g quota.Grant) {
+	if g.Vacant {
+		s.look(now, a.Shard)
+	}
 	s.released = s.holder.Granted(now, a, g, s.released[:0])
 	ready := slices.Clone(s.released)
 	for _, id := range ready {
--- /dev/null
+++ b/core/watch.go
@@ -0,0 +1,137 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryshelf/core/quota"
+)
+
+const (
+	// watchersPerDomain nodes of each domain watch the store's records of nodes and
+	// shards where every answer to a watch is paid for: one may fail.
+	watchersPerDomain = 2
+	watcherSeed       = "watcher/"
+	// watchFirst is how long a node watches after its start, until it knows its peers.
+	watchFirst = 3 * time.Second
+	// newsEvery is how long news of shards gathers before peers are told.
+	newsEvery = 250 * time.Millisecond
+	// lookEvery is how often a node asks a watcher about a shard whose owner it
+	// cannot find.
+	lookEvery = 1 * time.Second
+)
+
+// watch is the node's part in following the store.
+type watch struct {
+	shared bool // a few nodes watch for all
+	on     bool
+	held   []ShardRecord // taken since the last news
+	vacant []quota.Shard // gone from the store since the last news
+	told   time.Time
+	looked map[quota.Shard]time.Time
+}
+
+// reviewWatch starts or ends the node's watch as its place among its domain's nodes says.
+func (s *State) reviewWatch(now time.Time) {
+	w := &s.watch
+	if !w.shared {
+		return
+	}
+	on := now.Sub(s.started) < watchFirst || s.watcherPlace() < watchersPerDomain
+	if on == w.on {
+		return
+	}
+	w.on = on
+	s.effects.Requests = append(s.effects.Requests, &Watch{On: on})
+}
+
+// watcherPlace returns how many live nodes of the domain watch rather than this one.
+func (s *State) watcherPlace() int {
+	mine, place := watcherRank(s.self.Name), 0
+	for _, p := range s.peers.All() {
+		if p.Live() && p.Domain == s.self.Domain && watcherRank(p.Name) > mine {
+			place++
+		}
+	}
+	return place
+}
+
+func watcherRank(name string) uint64 { return xxhash.Sum64String(watcherSeed + name) }
+
+// watcher draws one of the nodes that watch in this node's domain.
+func (s *State) watcher() string {
+	var best [watchersPerDomain]string
+	for _, p := range s.peers.All() {
+		if !p.Live() || p.Domain != s.self.Domain {
+			continue
+		}
+		name := p.Name
+		for i := range best {
+			if best[i] == "" || watcherRank(name) > watcherRank(best[i]) {
+				best[i], name = name, best[i]
+			}
+		}
+	}
+	if n := s.random.IntN(watchersPerDomain); best[n] != "" {
+		return best[n]
+	}
+	return best[0]
+}
+
+// tellNews sends peers what has become of shards since the last time.
+func (s *State) tellNews(now time.Time) {
+	w := &s.watch
+	if len(w.held)+len(w.vacant) == 0 || now.Sub(w.told) < newsEvery {
+		return
+	}
+	w.told = now
+	m := &News{Held: w.held, Vacant: w.vacant}
+	w.held, w.vacant = nil, nil
+	for _, p := range s.peers.All() {
+		s.send(p.Name, m)
+	}
+}
+
+// heardNews takes in what a peer tells of shards. A node that watches the store goes by
+// the store, and believes owners until it has reported.
+func (s *State) heardNews(now time.Time, m *News) {
+	for _, r := range m.Held {
+		if s.watch.on {
+			s.hints[r.Shard] = r.Owner
+		} else {
+			s.shardSeen(r)
+		}
+	}
+	if s.watch.on {
+		return
+	}
+	for _, shard := range m.Vacant {
+		s.shardGone(now, shard)
+	}
+}
+
+// look asks a watcher about a shard whose owner does not grant.
+func (s *State) look(now time.Time, shard quota.Shard) {
+	w := &s.watch
+	if w.on || now.Sub(w.looked[shard]) < lookEvery {
+		return
+	}
+	if w.looked == nil {
+		w.looked = map[quota.Shard]time.Time{}
+	}
+	w.looked[shard] = now
+	s.send(s.watcher(), &Look{Shard: shard})
+}
+
+// answerLook tells a peer what this node knows of a shard.
+func (s *State) answerLook(from string, m *Look) {
+	if !s.watch.on {
+		return
+	}
+	if owner, known := s.ownerOf(m.Shard); known {
+		s.send(from, &News{Held: []ShardRecord{{Shard: m.Shard, Owner: owner}}})
+		return
+	}
+	s.send(from, &News{Vacant: []quota.Shard{m.Shard}})
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 	Heartbeats bool          // see core.Settings
 	Revoke     time.Duration // see core.Settings
 	Plans      bool          // see core.Settings
+	Watchers   bool          // see core.Settings
 	Retries    retry.Bound   // see core.Settings
 	Log        *slog.Logger
 	Store      store.Client
@@ -105,7 +106,7 @@
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, Seeds: c.Peers, Seed: rand.Uint64(), Heartbeats: c.Heartbeats, Revoke: c.Revoke, Plans: c.Plans, Retries: c.Retries,
+			Self: c.Self, Seeds: c.Peers, Seed: rand.Uint64(), Heartbeats: c.Heartbeats, Revoke: c.Revoke, Plans: c.Plans, Watchers: c.Watchers, Retries: c.Retries,
 		}),
 		Messenger: a.control, Registrar: a.session, Observer: a.observer, Clock: boot,
 	})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -75,7 +75,7 @@
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 			Node: s.Listen.Node, Control: s.Listen.Control,
 		},
-		Heartbeats: true, Plans: true, Revoke: trust(s), Retries: bound(s), Log: log, Tracer: untraced{},
+		Heartbeats: true, Plans: true, Watchers: true, Revoke: trust(s), Retries: bound(s), Log: log, Tracer: untraced{},
 		Store:   kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:  store.Layout{Prefix: s.Store.Prefix, Manifest: platform.ConfigKey, Codec: platform.Codec{}},
 		Lease:   s.Store.Lease.Duration,
--- a/io/node/wire.go
+++ b/io/node/wire.go
@@ -15,7 +15,8 @@
 	methodPlan     = "plan"
 	methodFetch    = "fetch"
 	methodConfig   = "config"
-	methodHeld     = "held"
+	methodNews     = "news"
+	methodLook     = "look"
 	methodAsk      = "ask"
 	methodGrant    = "grant"
 	methodEcho     = "echo"
@@ -45,8 +46,10 @@
 		return methodFetch
 	case *core.Config:
 		return methodConfig
-	case *core.Held:
-		return methodHeld
+	case *core.News:
+		return methodNews
+	case *core.Look:
+		return methodLook
 	case *core.TokenAsk:
 		return methodAsk
 	case *core.TokenGrant:
@@ -80,8 +83,10 @@
 		return &core.Fetch{}
 	case methodConfig:
 		return &core.Config{}
-	case methodHeld:
-		return &core.Held{}
+	case methodNews:
+		return &core.News{}
+	case methodLook:
+		return &core.Look{}
 	case methodAsk:
 		return &core.TokenAsk{}
 	case methodGrant:
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	lease   int64 // 0 while none is held
 	changed chan struct{}
+	follows chan bool // whether the nodes' own records are followed
 }
 
 // NewSession returns a session that Run is yet to start.
@@ -77,6 +78,7 @@
 		Config:   c,
 		requests: make(chan core.Request, requestRoom),
 		changed:  make(chan struct{}, 1),
+		follows:  make(chan bool),
 	}
 }
 
@@ -96,7 +98,7 @@
 func (s *Session) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { s.keepLease(ctx) })
-	group.Go(func() { s.follow(ctx, s.Layout.Prefix, s.loadOwn) })
+	group.Go(func() { s.followOwn(ctx) })
 	if !s.Layout.inside() {
 		group.Go(func() { s.follow(ctx, s.Layout.Manifest, s.loadManifest) })
 	}
@@ -204,6 +206,23 @@
 	return s.lease
 }
 
+// followOwn follows what nodes have written, while that is asked for.
+func (s *Session) followOwn(ctx context.Context) {
+	for on := true; ctx.Err() == nil; {
+		following, stop := context.WithCancel(ctx)
+		var group sync.WaitGroup
+		if on {
+			group.Go(func() { s.follow(following, s.Layout.Prefix, s.loadOwn) })
+		}
+		select {
+		case on = <-s.follows:
+		case <-ctx.Done():
+		}
+		stop()
+		group.Wait()
+	}
+}
+
 // follow reads everything under a prefix and watches it from there on.
 func (s *Session) follow(ctx context.Context, prefix string, load func(context.Context) (int64, error)) {
 	for try := 0; ctx.Err() == nil; try++ {
@@ -264,6 +283,7 @@
 	if err != nil {
 		return 0, err
 	}
+	s.sink.Post(&core.StoreUp{Up: true})
 	for _, p := range pairs {
 		if p.Key == s.Layout.Manifest {
 			s.confirm(Change{Key: p.Key, Value: p.Value}, start)
@@ -352,6 +372,11 @@
 		_, err = s.Client.DeleteValue(ctx, s.Layout.shard(r.Shard), s.claimValue(s.current()))
 	case *core.Verify:
 		err = s.verify(ctx)
+	case *core.Watch:
+		select {
+		case s.follows <- r.On:
+		case <-ctx.Done():
+		}
 	case *core.SaveCosts:
 		err = s.saveCosts(ctx, r.Rows)
 	}
