core/route: endpoints are chosen by the load that comes with answers

Change: nodes tell the load of their target (calls at it by its slots) with each answer and refusal; up to half of the slots one more call waits for nobody, so that the domain's own endpoint is taken unless another is a quarter faster; beyond that load counts. Where no load is known the calls sent from here count, as before.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -54,6 +54,14 @@
 	Service time.Duration // mean from start to answer
 }
 
+// Load returns the calls at the target, those that wait included, by its limit.
+func (s Stats) Load() float64 {
+	if s.Limit <= 0 {
+		return 0
+	}
+	return float64(s.Running+s.Queued) / s.Limit
+}
+
 // Gate guards the one local target.
 type Gate struct {
 	limiter
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -99,6 +99,7 @@
 
 func (s *State) run(now time.Time, c *call) {
 	c.phase, c.began = running, now
+	c.endpoint.Loaded(now, s.gate.Stats().Load())
 	if s.plans {
 		s.planning.learner.Began(now, c.route)
 	}
@@ -208,6 +209,7 @@
 	if e.Ran != RanNo || e.Cause == Shed {
 		c.arrived++
 	}
+	c.loaded(now, e.Load)
 	local := c.phase == running
 	if local {
 		s.gate.Done(s.completion(now, c, e.Cause == Shed, false))
@@ -224,6 +226,13 @@
 	s.pump(now)
 }
 
+// loaded remembers the load that came with the end of an attempt.
+func (c *call) loaded(now time.Time, l Load) {
+	if l.Told && c.phase == forwarding {
+		c.endpoint.Loaded(now, l.Share)
+	}
+}
+
 func failReason(e *Fail) Reason {
 	switch {
 	case e.Cause == Rejected && e.Reason != NoReason:
@@ -286,6 +295,7 @@
 		}
 	case forwarding:
 		c.endpoint.Answered(now.Sub(c.began))
+		c.loaded(now, e.Load)
 		c.budget.Return(c.lent, e.Unspent)
 	}
 	s.learn(now, c)
--- a/core/call.go
+++ b/core/call.go
@@ -386,7 +386,7 @@
 	stats := s.gate.Stats()
 	v.Why = Why{
 		Workspace: c.workspace, Version: s.version(), Confirmed: now.Sub(s.asOf), Left: c.deadline.Sub(now),
-		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued,
+		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.Load(),
 	}
 	s.effects.Verdicts = append(s.effects.Verdicts, v)
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -106,8 +106,9 @@
 	Confirmed time.Duration // age of the proof that it was the newest
 	Left      time.Duration // until the call's deadline
 	Attempt   int
-	Running   int // calls at the local target
-	Queued    int // calls that wait for it
+	Running   int     // calls at the local target
+	Queued    int     // calls that wait for it
+	Load      float64 // both by its slots
 }
 
 // Request is an operation on the store.
--- a/core/event.go
+++ b/core/event.go
@@ -72,6 +72,12 @@
 	TimedOut                 // no answer by the deadline
 )
 
+// Load is what a node told of its target with an answer or a refusal.
+type Load struct {
+	Told  bool
+	Share float64 // calls at the target, those that wait included, by its slots
+}
+
 // Fail says that an attempt failed before any of its answer was passed on.
 type Fail struct {
 	Call    CallID
@@ -80,6 +86,7 @@
 	Reason  Reason // what the other node said, if Rejected
 	Level   admit.Level
 	Unspent int
+	Load    Load // of the endpoint, if its node told
 }
 
 // Finish says that a call has ended and its answer was passed on.
@@ -90,6 +97,7 @@
 	Shed    bool // the target refused it as overloaded
 	Level   admit.Level
 	Unspent int
+	Load    Load // of the endpoint, if its node told
 }
 
 // Cancel says that whoever sent the call has given it up.
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -44,6 +44,7 @@
 	name  string
 	up    *simLeg // the leg at the node that sent it on
 	done  func(ok, ran bool)
+	load  Load // of the target that it was sent on to
 }
 
 type simulation struct {
@@ -219,9 +220,10 @@
 		id := m.id()
 		below := &simLeg{node: j, route: leg.route, name: leg.name, up: leg}
 		below.done = func(ok, ran bool) {
+			leg.load = Load{Told: true, Share: m.nodes[j].gate.Stats().Load()}
 			m.after(simHop, func() {
 				if !ok && !ran {
-					m.step(leg.node, &Fail{Call: v.Call, Cause: Rejected, Reason: Overloaded, Ran: RanNo})
+					m.step(leg.node, &Fail{Call: v.Call, Cause: Rejected, Reason: Overloaded, Ran: RanNo, Load: leg.load})
 					return
 				}
 				m.finish(leg.node, v.Call, leg, ok)
@@ -234,7 +236,7 @@
 
 func (m *simulation) finish(i int, call CallID, leg *simLeg, ok bool) {
 	delete(m.legs[i], call)
-	m.step(i, &Finish{Call: call, Whole: true, Failed: !ok})
+	m.step(i, &Finish{Call: call, Whole: true, Failed: !ok, Load: leg.load})
 	leg.done(ok, true)
 }
 
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -19,6 +19,13 @@
 	slowStart      = 3 * time.Second
 	slowStartFloor = 0.1
 	defaultLatency = 5 * time.Millisecond
+	// roomy is the load up to which one more call waits for nobody; every further tenth
+	// of the slots is taken to lengthen it by steep tenths: a queue as long as the slots
+	// takes another service time, and a call of a full target may be refused.
+	roomy = 0.5
+	steep = 3.0
+	// loadFresh is how long a load that came with an answer counts: a few service times.
+	loadFresh = 1 * time.Second
 )
 
 // Endpoint is one target behind its node, as seen from here.
@@ -33,7 +40,10 @@
 	Slots    int   // calls the target runs at once, 0 if unknown
 	Began    int64 // start of the target; a new one starts slowly
 
-	open     int // calls from here that have not ended
+	open     int     // calls from here that have not ended
+	load     float64 // calls at the target by its slots, when last told
+	told     time.Time
+	sent     int // calls from here since then
 	latency  time.Duration
 	failures int
 	until    time.Time // no calls before
@@ -51,15 +61,31 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	c := float64(e.open+1) * float64(latency)
+	c := e.wait(now) * float64(latency)
 	if age := now.Sub(e.since); age < slowStart {
 		c /= max(slowStartFloor, float64(age)/float64(slowStart))
 	}
 	return c
 }
 
+// wait estimates by how much the load of the endpoint lengthens one more call. Where
+// that is not known it goes by the calls sent from here.
+func (e *Endpoint) wait(now time.Time) float64 {
+	if e.Slots == 0 || e.told.IsZero() || now.Sub(e.told) > loadFresh {
+		return float64(e.open + 1)
+	}
+	load := e.load + float64(e.sent)/float64(e.Slots)
+	return 1 + steep*max(0, load-roomy)
+}
+
+// Loaded takes in how many calls the target had by its slots, those that wait included.
+func (e *Endpoint) Loaded(now time.Time, load float64) { e.load, e.told, e.sent = load, now, 0 }
+
 // Begin counts a call sent to the endpoint.
-func (e *Endpoint) Begin() { e.open++ }
+func (e *Endpoint) Begin() {
+	e.open++
+	e.sent++
+}
 
 // Answered ends a call that brought an answer after the given time.
 func (e *Endpoint) Answered(took time.Duration) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -128,7 +128,7 @@
 	if v.Action == core.Forward {
 		if why, ran, refused := node.Refusal(res.Header); refused {
 			o := node.TakeOutcome(res.Header)
-			x.ticket.Fail(core.Fail{Cause: core.Rejected, Ran: ran, Reason: why, Level: o.Level, Unspent: o.Unspent})
+			x.ticket.Fail(core.Fail{Cause: core.Rejected, Ran: ran, Reason: why, Level: o.Level, Unspent: o.Unspent, Load: node.GetLoad(res.Header)})
 			return true
 		}
 	}
@@ -258,6 +258,9 @@
 	defer func() { _ = res.Body.Close() }()
 	copyInto(x.w.Header(), copyHeader(res.Header))
 	x.keepPlain(x.w.Header())
+	if x.origin == core.FromNode {
+		node.SetLoad(x.w.Header(), x.verdict.Why.Load)
+	}
 	for name := range res.Trailer {
 		x.w.Header().Add("Trailer", name)
 	}
@@ -277,7 +280,7 @@
 		Whole:  err == nil,
 		Failed: res.StatusCode >= http.StatusInternalServerError,
 		Shed:   res.StatusCode == http.StatusServiceUnavailable,
-		Level:  o.Level, Unspent: o.Unspent,
+		Level:  o.Level, Unspent: o.Unspent, Load: node.GetLoad(res.Header),
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -20,6 +20,7 @@
 	headerPass    = "Celery-Pass"
 	headerLevel   = "Celery-Level"
 	headerUnspent = "Celery-Unspent"
+	headerLoad    = "Celery-Load" // calls at the target by its slots, in percent
 
 	// HeaderReason and HeaderRan tell a caller why a call was refused and
 	// whether it may have run.
@@ -153,6 +154,17 @@
 	return o
 }
 
+// SetLoad writes the load of the target into the headers of an answer.
+func SetLoad(h http.Header, share float64) {
+	h[headerLoad] = []string{strconv.Itoa(int(share * 100))}
+}
+
+// GetLoad reads what SetLoad wrote. What is missing or malformed tells nothing.
+func GetLoad(h http.Header) core.Load {
+	percent, err := strconv.ParseUint(h.Get(headerLoad), 10, 16)
+	return core.Load{Told: err == nil, Share: float64(percent) / 100}
+}
+
 // Refusal reads a refusal of the node itself; ok is false for a target's answer.
 func Refusal(h http.Header) (why core.Reason, ran core.Ran, ok bool) {
 	name := h.Get(HeaderReason)
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -15,5 +15,6 @@
 	h.Set(HeaderReason, v.Reason.String())
 	h.Set(HeaderRan, v.Ran.String())
 	SetOutcome(h, "", Outcome{Level: v.Level, Unspent: v.Unspent})
+	SetLoad(h, v.Why.Load)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
