io/store: a claim of an earlier process is taken over in one call

Change: the revisions of such claims are remembered from the read at the start; if the record has changed since, the old way is taken.

--- a/io/store/session.go
+++ b/io/store/session.go
@@ -67,7 +67,8 @@
 	seen     progress
 
 	mu      sync.Mutex
-	lease   int64 // 0 while none is held
+	earlier map[string]int64 // revisions of an earlier process's claims, by key
+	lease   int64            // 0 while none is held
 	changed chan struct{}
 	follows chan bool // whether the nodes' own records are followed
 }
@@ -250,6 +251,7 @@
 		return 0, err
 	}
 	out := &core.Snapshot{}
+	s.remember(pairs)
 	for _, p := range pairs {
 		e, err := s.Layout.event(Change{Key: p.Key, Value: p.Value})
 		if err != nil {
@@ -276,6 +278,33 @@
 	return revision, nil
 }
 
+// remember keeps the revisions of the claims that an earlier process of this node left,
+// so that taking one over is a single call.
+func (s *Session) remember(pairs []Pair) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.earlier = map[string]int64{}
+	for _, p := range pairs {
+		if s.left(p.Value) {
+			s.earlier[p.Key] = p.Revision
+		}
+	}
+}
+
+// takeOver takes a shard that an earlier process of this node held, if its claim still
+// stands as it was read.
+func (s *Session) takeOver(ctx context.Context, key string, value []byte, lease int64) bool {
+	s.mu.Lock()
+	revision, ok := s.earlier[key]
+	delete(s.earlier, key)
+	s.mu.Unlock()
+	if !ok {
+		return false
+	}
+	held, err := s.Client.Swap(ctx, key, revision, value, lease)
+	return held && err == nil // otherwise the key is read again
+}
+
 // loadManifest reports the manifest where it lies outside the nodes' prefix.
 func (s *Session) loadManifest(ctx context.Context) (int64, error) {
 	start := s.Clock.Now()
@@ -455,7 +484,10 @@
 		rivals = append(rivals, s.Layout.shard(o))
 	}
 	key, value := s.Layout.shard(r.Shard), s.claimValue(lease)
-	held, err := s.Client.Create(ctx, key, rivals, value, lease)
+	held, err := s.takeOver(ctx, key, value, lease), error(nil)
+	if !held {
+		held, err = s.Client.Create(ctx, key, rivals, value, lease)
+	}
 	if err != nil || !held {
 		pair, rerr := s.Client.Get(ctx, key)
 		if rerr != nil {
--- /dev/null
+++ b/io/store/session_test.go
@@ -0,0 +1,94 @@
+package store
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"celeryshelf/core"
+	"celeryshelf/core/quota"
+)
+
+// claimClient is a store with one claim of an earlier process. Only the calls that
+// taking over needs are there; any other ends the test.
+type claimClient struct {
+	Client
+	t       *testing.T
+	pairs   []Pair
+	current int64 // revision of the claim now
+	swaps   int
+	creates int
+}
+
+func (c *claimClient) Range(context.Context, string) ([]Pair, int64, error) { return c.pairs, 7, nil }
+
+func (c *claimClient) Swap(_ context.Context, _ string, revision int64, value []byte, _ int64) (bool, error) {
+	c.swaps++
+	if revision != c.current {
+		return false, nil
+	}
+	c.current++
+	c.pairs[0].Value, c.pairs[0].Revision = value, c.current
+	return true, nil
+}
+
+func (c *claimClient) Create(context.Context, string, []string, []byte, int64) (bool, error) {
+	c.creates++
+	return false, nil
+}
+
+func (c *claimClient) Get(context.Context, string) (*Pair, error) { return &c.pairs[0], nil }
+
+type events []core.Event
+
+func (e *events) Post(v core.Event) bool {
+	*e = append(*e, v)
+	return true
+}
+
+type warnings struct{ t *testing.T }
+
+func (w warnings) Warn(err error) { w.t.Error(err) }
+
+type wall struct{}
+
+func (wall) Now() time.Time { return time.Now() }
+
+// TestClaimOfAnEarlierProcess starts a node again whose shard is still recorded under
+// its earlier process.
+func TestClaimOfAnEarlierProcess(t *testing.T) {
+	shard := quota.Shard{Workspace: "w", Count: 1}
+	for _, tt := range []struct {
+		name           string
+		moved          int64 // by which the record has changed since it was read
+		swaps, creates int
+	}{
+		{"still as it was read", 0, 1, 0},
+		{"changed meanwhile", 1, 2, 1},
+	} {
+		l := NewLayout("shelf/")
+		seen := &events{}
+		c := &claimClient{t: t, current: 5}
+		s := NewSession(Config{
+			Client: c, Layout: l, Name: "n0", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			TTL: time.Second, Warner: warnings{t}, Clock: wall{},
+		})
+		s.Attach(seen)
+		c.pairs = []Pair{{Key: l.shard(shard), Value: s.claimValue(1), Revision: 5}}
+		if _, err := s.loadOwn(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.current += tt.moved
+		c.pairs[0].Revision = c.current
+		s.held(2, time.Now().Add(time.Second))
+		if err := s.claim(t.Context(), &core.Claim{Shard: shard}); err != nil {
+			t.Fatal(err)
+		}
+		done, ok := (*seen)[len(*seen)-1].(*core.ClaimDone)
+		if !ok || !done.Held || c.swaps != tt.swaps || c.creates != tt.creates {
+			t.Errorf("%s: got %+v after %d swaps and %d creates, want %d and %d",
+				tt.name, (*seen)[len(*seen)-1], c.swaps, c.creates, tt.swaps, tt.creates)
+		}
+	}
+}
