--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,25 +55,27 @@
 
 // Config holds what an Agent is made of.
 type Config struct {
-	Self       member.Member // Node and Control are listened on
-	Peers      []netip.AddrPort
-	Heartbeats bool          // see core.Settings
-	Revoke     time.Duration // see core.Settings
-	Plans      bool          // see core.Settings
-	Watchers   bool          // see core.Settings
-	Retries    retry.Bound   // see core.Settings
-	Log        *slog.Logger
-	Store      store.Client
-	Layout     store.Layout
-	Lease      time.Duration
-	Dialect    func(*caller.Router) relay.Dialect
-	Tracer     Tracer
-	Target     http1.Config
-	Nodes      http.RoundTripper // see relay.Config; without Plans it carries trailers
-	Grace      time.Duration     // from the start of leaving until callers' sides close
-	Shut       time.Duration     // from the start of leaving until calls are refused, 0 if never
-	Open       time.Duration     // from the start of leaving until the target gets no more calls
-	Limit      time.Duration     // from the start of leaving until calls are given up
+	Self member.Member
+	// NodeListen and ControlListen are listened on, Self's addresses if zero.
+	NodeListen, ControlListen netip.AddrPort
+	Peers                     []netip.AddrPort
+	Heartbeats                bool          // see core.Settings
+	Revoke                    time.Duration // see core.Settings
+	Plans                     bool          // see core.Settings
+	Watchers                  bool          // see core.Settings
+	Retries                   retry.Bound   // see core.Settings
+	Log                       *slog.Logger
+	Store                     store.Client
+	Layout                    store.Layout
+	Lease                     time.Duration
+	Dialect                   func(*caller.Router) relay.Dialect
+	Tracer                    Tracer
+	Target                    http1.Config
+	Nodes                     http.RoundTripper // see relay.Config; without Plans it carries trailers
+	Grace                     time.Duration     // from the start of leaving until callers' sides close
+	Shut                      time.Duration     // from the start of leaving until calls are refused, 0 if never
+	Open                      time.Duration     // from the start of leaving until the target gets no more calls
+	Limit                     time.Duration     // from the start of leaving until calls are given up
 }
 
 // Agent is one node.
@@ -117,7 +120,7 @@
 		Local: http1.NewClient(c.Target), Nodes: c.Nodes, Settles: !c.Plans,
 	})
 	a.measure()
-	a.Add(Side{Name: "nodes", Address: c.Self.Node, Server: node.NewServer(a.relay.Node(node.Refuser{}))})
+	a.Add(Side{Name: "nodes", Address: cmp.Or(c.NodeListen, c.Self.Node), Server: node.NewServer(a.relay.Node(node.Refuser{}))})
 	return a
 }
 
@@ -222,7 +225,7 @@
 			}
 		})
 	}
-	l, err := config.Listen(ctx, "tcp", a.Self.Control.String())
+	l, err := config.Listen(ctx, "tcp", cmp.Or(a.ControlListen, a.Self.Control).String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for control: %w", err)
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -19,13 +19,15 @@
 // Sidecar describes a node that serves callers and its target through a front end
 // of the platform's. The file holds one JSON object with exactly these fields.
 type Sidecar struct {
-	Name    string         `json:"name"`
-	Service string         `json:"service"` // of the local target
-	Domain  string         `json:"domain"`
-	Region  string         `json:"region"`
-	Listen  SidecarListen  `json:"listen"`
-	Target  netip.AddrPort `json:"target"`
-	Store   SidecarStore   `json:"store"`
+	Name    string        `json:"name"`
+	Service string        `json:"service"` // of the local target
+	Domain  string        `json:"domain"`
+	Region  string        `json:"region"`
+	Listen  SidecarListen `json:"listen"`
+	// Announce is where other nodes reach this one, if not where it listens.
+	Announce SidecarAnnounce `json:"announce,omitzero"`
+	Target   netip.AddrPort  `json:"target"`
+	Store    SidecarStore    `json:"store"`
 	// Heartbeat is how often the target says that it is there.
 	Heartbeat manifest.Duration `json:"heartbeat"`
 	// Revoke is the time within which a withdrawn key must stop working.
@@ -49,6 +51,24 @@
 	Metrics   netip.AddrPort `json:"metrics"`
 }
 
+// SidecarAnnounce holds the addresses that other nodes use, each of them optional.
+type SidecarAnnounce struct {
+	Node    netip.AddrPort `json:"node,omitzero"`
+	Control netip.AddrPort `json:"control,omitzero"`
+}
+
+// Reach returns where other nodes reach the sides for calls and for control messages.
+func (s *Sidecar) Reach() (node, control netip.AddrPort) {
+	node, control = s.Listen.Node, s.Listen.Control
+	if s.Announce.Node.IsValid() {
+		node = s.Announce.Node
+	}
+	if s.Announce.Control.IsValid() {
+		control = s.Announce.Control
+	}
+	return node, control
+}
+
 // SidecarStore says where the platform's key-value service is.
 type SidecarStore struct {
 	Address netip.AddrPort    `json:"address"`
@@ -100,6 +120,7 @@
 type SidecarFixed struct {
 	Name, Service, Domain, Region string
 	Listen                        SidecarListen
+	Announce                      SidecarAnnounce
 	Target                        netip.AddrPort
 	Store                         SidecarStore
 	Memory                        int
@@ -109,7 +130,7 @@
 func (s *Sidecar) Fixed() SidecarFixed {
 	return SidecarFixed{
 		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
-		Listen: s.Listen, Target: s.Target, Store: s.Store, Memory: s.Memory,
+		Listen: s.Listen, Announce: s.Announce, Target: s.Target, Store: s.Store, Memory: s.Memory,
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -69,12 +69,14 @@
 	slog.SetDefault(log) // net/http reports through the standard logger
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	reach, control := s.Reach()
 	dialect := platform.Dialect{Service: s.Service}
 	a := agent.New(work, agent.Config{
 		Self: member.Member{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
-			Node: s.Listen.Node, Control: s.Listen.Control,
+			Node: reach, Control: control,
 		},
+		NodeListen: s.Listen.Node, ControlListen: s.Listen.Control,
 		Heartbeats: true, Plans: true, Watchers: true, Revoke: trust(s), Retries: bound(s), Log: log, Tracer: untraced{},
 		Store:   kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:  store.Layout{Prefix: s.Store.Prefix, Manifest: platform.ConfigKey, Codec: platform.Codec{}},
