cmd/soak: nodes as processes, faults from outside, promises checked

Real nodes run as processes; stand-ins of store and targets, and links between all of them, are in the soak's own process. A seed draws storms (kills, pauses, crashed targets, links delayed, reset, one way, silent or silenced for good, a store that is away, slow, loses answers, stops telling or drops history) and phases of planned work alone (stops, changes, withdrawn keys, leaving targets); actions overlap and come in series. Eleven checks go by what callers, targets and the operator have seen; TestChecksCanFail breaks each.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,69 @@
+// Command soak runs nodes as processes on loopback, injects faults from outside them,
+// and checks the promises to callers and targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/soak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command := &cli.Command{
+		Name:  "soak",
+		Usage: "play a seed; the last line names it and the verdict",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`N` draws what happens"},
+			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "of the disruptions; a calm of 18 s follows"},
+			&cli.IntFlag{Name: "nodes", Value: 6},
+			&cli.IntFlag{Name: "clients", Value: 12},
+			&cli.StringFlag{Name: "keep", Usage: "`DIR` for settings and logs, kept; a temporary one otherwise"},
+		},
+		Action: play,
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func play(ctx context.Context, c *cli.Command) error {
+	dir := c.String("keep")
+	if dir == "" {
+		temporary, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return fmt.Errorf("make a folder: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(temporary) }()
+		dir = temporary
+	}
+	program, err := fleet.BuildSidecar(ctx, dir)
+	if err != nil {
+		return err
+	}
+	broken, err := soak.Run(ctx, soak.Config{
+		Seed: c.Uint64("seed"), Duration: c.Duration("duration"), Nodes: c.Int("nodes"), Clients: c.Int("clients"),
+		Program: program, Dir: dir, Out: os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	for _, b := range broken {
+		fmt.Println("broken", b)
+	}
+	if len(broken) > 0 {
+		return fmt.Errorf("seed=%d verdict=broken promises=%d", c.Uint64("seed"), len(broken))
+	}
+	fmt.Printf("seed=%d verdict=kept\n", c.Uint64("seed"))
+	return nil
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"celeryshelf/internal/settings"
 )
 
 // Programs are the paths of the built programs.
@@ -126,6 +128,25 @@
 	return start(dir, "node-"+u.Settings.Name, p.Node, "node", "--settings", file)
 }
 
+// BuildSidecar builds the node's program for the users' platform into a folder.
+func BuildSidecar(ctx context.Context, dir string) (string, error) {
+	program := filepath.Join(dir, "celerynode")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "celeryshelf/cmd/celerynode").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build celerynode: %w\n%s", err, out)
+	}
+	return program, nil
+}
+
+// StartSidecar starts a node of the users' platform.
+func StartSidecar(program, dir string, s settings.Sidecar) (*Process, error) {
+	file, err := writeJSON(dir, "node-"+s.Name, s)
+	if err != nil {
+		return nil, err
+	}
+	return start(dir, "node-"+s.Name, program, "--settings", file)
+}
+
 // StartBaseline starts a plain node in a unit's place.
 func StartBaseline(p Programs, dir string, u Unit, config any) (*Process, error) {
 	file, err := writeJSON(dir, "node-"+u.Settings.Name, config)
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// sound is a history that keeps every promise.
+func sound() *History {
+	h := &History{
+		Versions:  []Version{{1, at(0)}, {2, at(10)}},
+		Withdrawn: []Withdrawn{{Key: "old", Workspace: steady, At: at(10)}},
+		Drained:   []Drained{{Target: "t0-1", At: at(10)}},
+		Seen:      []Seen{{Node: 0, Version: 2, Sent: at(11)}, {Node: 0, Version: 2, InForce: true, Sent: at(11.5)}},
+		Arrivals: []Arrival{
+			{ID: "o1", Service: "nursery", Target: "t1-1", Workspace: steady, At: at(5)},
+			{ID: "p1", Service: "maps", Target: "t0-1", Workspace: steady, At: at(11)},
+		},
+		Requests: []Request{
+			{ID: "o1", Kind: kindOrder, Workspace: steady, Sent: at(5), Ended: at(5.1), Status: http.StatusOK},
+			{ID: "o2", Kind: kindOrder, Workspace: steady, Sent: at(6), Ended: at(6), Status: http.StatusServiceUnavailable},
+			{ID: "p1", Kind: kindPage, Workspace: steady, Key: "old", Sent: at(11), Ended: at(11.1), Status: http.StatusOK},
+			{ID: "p2", Kind: kindPage, Workspace: steady, Key: "old", Sent: at(16), Ended: at(16), Status: http.StatusUnauthorized},
+			{ID: "p3", Kind: kindPage, Workspace: steady, Sent: at(60), Ended: at(60.1), Status: http.StatusOK},
+		},
+		Faults: []Span{{From: at(20), To: at(30), What: "kill"}},
+	}
+	return h
+}
+
+// many returns n arrivals within a second.
+func many(n int, a Arrival) (out []Arrival) {
+	for i := range n {
+		a.At = at(40 + float64(i)/float64(n))
+		out = append(out, a)
+	}
+	return out
+}
+
+// TestChecksCanFail breaks one promise after the other.
+func TestChecksCanFail(t *testing.T) {
+	if broken := sound().Check(); len(broken) > 0 {
+		t.Fatalf("a sound history breaks %v", broken)
+	}
+	for _, tt := range []struct {
+		check  string
+		mutate func(h *History)
+	}{
+		{"once", func(h *History) { h.Arrivals = append(h.Arrivals, h.Arrivals[0]) }},
+		{"refusals", func(h *History) { h.Arrivals = append(h.Arrivals, Arrival{ID: "o2", At: at(7)}) }},
+		{"answers", func(h *History) { h.Requests[0].Fault = "the answer names o9" }},
+		{"keys", func(h *History) { h.Requests[3].Status = http.StatusOK }},
+		{"drain", func(h *History) { h.Arrivals[1].At = at(12.1) }},
+		{"versions", func(h *History) { h.Seen[0].Sent = at(12.5) }},
+		{"versions", func(h *History) {
+			h.Seen = append(h.Seen, Seen{Node: 0, Version: 1, Sent: at(25)}) // in a disruption, too
+		}},
+		{"planned", func(h *History) { h.Requests[0].Status = 0 }},
+		{"retries", func(h *History) { h.Arrivals = append(h.Arrivals, many(60, Arrival{ID: "p9", Service: "maps"})...) }},
+		{"quota", func(h *History) {
+			for i, a := range many(200, Arrival{Service: "maps", Workspace: greedy}) {
+				a.ID = strings.Repeat("x", i)
+				h.Arrivals = append(h.Arrivals, a)
+			}
+		}},
+		{"ends", func(h *History) { h.Ends = []string{"n0 after SIGTERM: still runs"} }},
+		{"recovery", func(h *History) { h.Requests[4].Status = http.StatusServiceUnavailable }},
+	} {
+		h := sound()
+		tt.mutate(h)
+		broken := h.Check()
+		if len(broken) != 1 || !strings.HasPrefix(broken[0], tt.check+": ") {
+			t.Errorf("%s: got %v", tt.check, broken)
+		}
+	}
+}
+
+// TestDisruptionExcusesCuts: what is lost while a process is killed is no planned work's.
+func TestDisruptionExcusesCuts(t *testing.T) {
+	h := sound()
+	h.Arrivals = append(h.Arrivals, Arrival{ID: "p4", Service: "maps", Target: "t2-1", At: at(21)})
+	h.Requests = append(h.Requests, Request{ID: "p4", Kind: kindPage, Sent: at(21), Ended: at(22)})
+	if broken := h.Check(); len(broken) > 0 {
+		t.Errorf("got %v", broken)
+	}
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,296 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"celeryshelf/core/manifest"
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/settings"
+	"celeryshelf/platform/standin"
+)
+
+// Ports of a unit; what a link listens on is what others use.
+const (
+	portCaller = 8080 + iota
+	portNode
+	portNodeLink
+	portControl
+	portControlLink
+	portHeartbeat
+	portReady
+	portMetrics
+	portTarget
+	portTargetLink
+	portStoreLink
+)
+
+const (
+	portStore   = 2379
+	slots       = 40
+	work        = 15 * time.Millisecond
+	beat        = 300 * time.Millisecond
+	readyWithin = 15 * time.Second
+	maxMemory   = 128 // MiB a node
+)
+
+// The workspaces of a run: one inside its rate, one far above it.
+const (
+	steady = "steady"
+	greedy = "greedy"
+)
+
+type workspace struct {
+	name  string
+	rate  float64 // calls a second
+	burst int
+}
+
+var workspaces = []workspace{{steady, 400, 400}, {greedy, 20, 20}}
+
+var services = []string{"maps", "nursery", "stock"}
+
+// unit is a node with its target and the links between it and others.
+type unit struct {
+	index   int
+	host    netip.Addr
+	service string
+	links   map[string]*Link
+
+	mu      sync.Mutex
+	node    *fleet.Process
+	process int // number of the node's process
+	stopped bool
+	target  *standin.Endpoint
+	born    int // number of the target's incarnation
+	stop    context.CancelFunc
+}
+
+func (u *unit) at(port int) netip.AddrPort { return netip.AddrPortFrom(u.host, uint16(port)) }
+
+// Fleet is the nodes of a run and what surrounds them.
+type Fleet struct {
+	dir, program string
+	history      *History
+	store        *standin.Store
+	units        []*unit
+	version      int
+	keys         map[string]string // in force, by workspace
+	group        sync.WaitGroup
+}
+
+// NewFleet lays out n units on loopback addresses that the run's number sets apart.
+func NewFleet(dir, program string, n, run int, h *History) *Fleet {
+	f := &Fleet{dir: dir, program: program, history: h, store: standin.NewStore(), keys: map[string]string{}}
+	for i := range n {
+		u := &unit{
+			index: i, host: netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100 % 250), byte(10 + i)}),
+			service: services[i%len(services)], links: map[string]*Link{},
+		}
+		for name, ports := range map[string][2]int{
+			"node": {portNodeLink, portNode}, "control": {portControlLink, portControl}, "target": {portTargetLink, portTarget},
+		} {
+			u.links[name] = NewLink(u.at(ports[0]), u.at(ports[1]))
+		}
+		u.links["store"] = NewLink(u.at(portStoreLink), netip.AddrPortFrom(f.host(run), portStore))
+		f.units = append(f.units, u)
+	}
+	return f
+}
+
+func (f *Fleet) host(run int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100 % 250), 1})
+}
+
+// Start starts everything and waits until every node is ready.
+func (f *Fleet) Start(ctx context.Context, run int) error {
+	if err := f.serve(ctx, netip.AddrPortFrom(f.host(run), portStore), f.store); err != nil {
+		return err
+	}
+	go f.store.Expire(ctx.Done())
+	f.keys[steady], f.keys[greedy] = "key-steady-0", "key-greedy-0"
+	f.Configure()
+	for _, u := range f.units {
+		for name, l := range u.links {
+			f.group.Go(func() {
+				if err := l.Run(ctx); err != nil {
+					f.history.note(func() { f.history.Ends = append(f.history.Ends, fmt.Sprintf("link %s: %v", name, err)) })
+				}
+			})
+		}
+		if err := f.startTarget(ctx, u); err != nil {
+			return err
+		}
+		if err := f.startNode(u); err != nil {
+			return err
+		}
+	}
+	return f.ready(ctx)
+}
+
+// serve listens until the context ends.
+func (f *Fleet) serve(ctx context.Context, at netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	f.group.Go(func() { _ = s.Serve(l) }) // ends with the context
+	return nil
+}
+
+func (f *Fleet) startTarget(ctx context.Context, u *unit) error {
+	ctx, cancel := context.WithCancel(ctx)
+	u.mu.Lock()
+	u.born++
+	e := standin.NewEndpoint(standin.EndpointConfig{
+		ID: fmt.Sprintf("t%d-%d", u.index, u.born), Service: u.service, Listen: u.at(portTarget),
+		Node: u.at(portCaller), Control: u.at(portHeartbeat), Announce: u.at(portTargetLink),
+		Slots: slots, Work: manifest.Duration{Duration: work}, Beat: manifest.Duration{Duration: beat},
+		Calls: map[string][]standin.Call{"/page/": {{Host: "stock.example", Path: "/stock/x"}}},
+		Ran: func(id, workspace string) {
+			f.history.note(func() {
+				f.history.Arrivals = append(f.history.Arrivals, Arrival{
+					ID: id, Service: u.service, Target: fmt.Sprintf("t%d-%d", u.index, u.born), Workspace: workspace, At: time.Now(),
+				})
+			})
+		},
+	})
+	u.target, u.stop = e, cancel
+	u.mu.Unlock()
+	if err := f.serve(ctx, u.at(portTarget), e); err != nil {
+		cancel()
+		return err
+	}
+	f.group.Go(func() { e.Run(ctx) })
+	return nil
+}
+
+func (f *Fleet) startNode(u *unit) error {
+	s := settings.Sidecar{
+		Name: fmt.Sprintf("n%d", u.index), Service: u.service, Domain: fmt.Sprintf("d%d", u.index%3), Region: "r",
+		Listen: settings.SidecarListen{
+			Caller: u.at(portCaller), Node: u.at(portNode), Control: u.at(portControl),
+			Heartbeat: u.at(portHeartbeat), Ready: u.at(portReady), Metrics: u.at(portMetrics),
+		},
+		Announce:  settings.SidecarAnnounce{Node: u.at(portNodeLink), Control: u.at(portControlLink)},
+		Target:    u.at(portTargetLink),
+		Store:     settings.SidecarStore{Address: u.at(portStoreLink), Prefix: "celeryshelf/", Lease: manifest.Duration{Duration: 4 * time.Second}},
+		Heartbeat: manifest.Duration{Duration: beat}, Revoke: manifest.Duration{Duration: revokeBound},
+		Drain: manifest.Duration{Duration: drainBound}, Limit: manifest.Duration{Duration: stopBound}, Memory: maxMemory,
+		Retry: settings.SidecarRetry{Ratio: retryRatio, Window: manifest.Duration{Duration: retryWindow}, Slack: retrySlack},
+		Log:   settings.Log{Level: "info"},
+	}
+	p, err := fleet.StartSidecar(f.program, f.dir, s)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.node, u.stopped = p, false
+	u.process++
+	return nil
+}
+
+// ready waits until every node takes calls.
+func (f *Fleet) ready(ctx context.Context) error {
+	for end := time.Now().Add(readyWithin); ; time.Sleep(100 * time.Millisecond) {
+		waiting := 0
+		for _, u := range f.units {
+			res, err := http.Get("http://" + u.at(portReady).String() + "/readiness")
+			if err != nil {
+				waiting++
+				continue
+			}
+			_ = res.Body.Close()
+			if res.StatusCode != http.StatusOK {
+				waiting++
+			}
+		}
+		switch {
+		case waiting == 0:
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case time.Now().After(end):
+			return fmt.Errorf("%d nodes are not ready after %s", waiting, readyWithin)
+		}
+	}
+}
+
+// Stop ends every process that the run has started.
+func (f *Fleet) Stop() {
+	for _, u := range f.units {
+		u.mu.Lock()
+		if u.node != nil {
+			_ = u.node.Thaw()
+			_ = u.node.Kill()
+			_ = u.node.Wait(stopBound)
+		}
+		u.mu.Unlock()
+	}
+	f.group.Wait()
+}
+
+// table is how the platform writes a list of records.
+type table struct {
+	Columns []string `json:"columns"`
+	Rows    [][]any  `json:"rows"`
+}
+
+// Configure writes the next version, with a route of its own, as the operators do.
+func (f *Fleet) Configure() {
+	f.version++
+	routes := table{Columns: []string{"name", "host", "path-prefix", "kind", "timeout-ms", "target-latency-ms", "priority", "attempts", "public", "service"}}
+	routes.Rows = append(routes.Rows,
+		[]any{"page", "maps.example", "/page/", "safe", 1200, 600, 1, 2, false, "maps"},
+		[]any{"order", "nursery.example", "/order/", "unsafe", 1500, 800, 0, 2, false, "nursery"},
+		[]any{"stock", "stock.example", "/stock/", "safe", 800, 300, 2, 2, true, "stock"},
+	)
+	for v := 1; v <= f.version; v++ {
+		routes.Rows = append(routes.Rows, []any{"mark-" + strconv.Itoa(v), "mark.example", fmt.Sprintf("/v%d/", v), "safe", 800, 300, 3, 2, true, "stock"})
+	}
+	tenants := table{Columns: []string{"name", "api-keys", "requests-per-s", "burst"}}
+	for _, w := range workspaces {
+		tenants.Rows = append(tenants.Rows, []any{w.name, []string{f.keys[w.name]}, w.rate, w.burst})
+	}
+	list := table{Columns: []string{"name"}}
+	for _, s := range services {
+		list.Rows = append(list.Rows, []any{s})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": "r" + strconv.Itoa(f.version), "routes": routes, "services": list, "tenants": tenants,
+		"limits": map[string]int{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	})
+	if err != nil {
+		panic(err) // only values of this file are encoded
+	}
+	f.store.Operate("config", value)
+	f.history.note(func() {
+		f.history.Versions = append(f.history.Versions, Version{Number: f.version, At: time.Now()})
+	})
+}
+
+// Withdraw gives a workspace another key in place of its own.
+func (f *Fleet) Withdraw(name string) {
+	old := f.keys[name]
+	f.history.note(func() { f.keys[name] = fmt.Sprintf("key-%s-%d", name, f.version) })
+	f.Configure()
+	f.history.note(func() {
+		f.history.Withdrawn = append(f.history.Withdrawn, Withdrawn{Key: old, Workspace: name, At: time.Now()})
+	})
+}
+
+// key returns a workspace's key in force.
+func (f *Fleet) key(name string) (key string, version int) {
+	f.history.note(func() { key, version = f.keys[name], f.version })
+	return key, version
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Request is one request of a client and how it ended.
+type Request struct {
+	ID, Kind, Workspace, Key string
+	Node                     int
+	Sent, Ended              time.Time
+	Status                   int    // 0 if no answer came
+	NotSent                  bool   // no byte left the client
+	Fault                    string // what was wrong with the answer itself
+}
+
+// Arrival is a request that reached a target and was run there.
+type Arrival struct {
+	ID, Service, Target, Workspace string
+	At                             time.Time
+}
+
+// Drained is a target whose leaving was acknowledged.
+type Drained struct {
+	Target string
+	At     time.Time
+}
+
+// Withdrawn is a key that a configuration took away.
+type Withdrawn struct {
+	Key, Workspace string
+	At             time.Time // when the store acknowledged it
+}
+
+// Version is a configuration that the store acknowledged.
+type Version struct {
+	Number int
+	At     time.Time
+}
+
+// Seen is what a node said about a version's own route: whether it is in force.
+type Seen struct {
+	Node, Process, Version int
+	InForce                bool
+	Sent                   time.Time
+}
+
+// Span is a time in which something went on.
+type Span struct {
+	From, To time.Time // To is zero while it goes on
+	What     string
+}
+
+// History is what callers, targets, operators and the injector have seen.
+type History struct {
+	mu        sync.Mutex
+	Requests  []Request
+	Arrivals  []Arrival
+	Drained   []Drained
+	Withdrawn []Withdrawn
+	Versions  []Version
+	Seen      []Seen
+	Faults    []Span   // unplanned disruptions
+	Ends      []string // processes that did not end as they should
+}
+
+func (h *History) note(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// begin opens a span of an unplanned disruption and returns how to close it.
+func (h *History) begin(what string) (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Faults = append(h.Faults, Span{From: time.Now(), What: what})
+	i := len(h.Faults) - 1
+	return func() { h.note(func() { h.Faults[i].To = time.Now() }) }
+}
+
+// calm reports whether no disruption went on from contact before one instant to another.
+func (h *History) calm(from, to time.Time) bool {
+	from = from.Add(-contact)
+	for _, s := range h.Faults {
+		if s.From.Before(to) && (s.To.IsZero() || s.To.After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
+// promised reports whether a status says that a request has not run and never will.
+func promised(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Mode is what a link does to the connections through it.
+type Mode uint8
+
+// Modes of a link.
+const (
+	Pass   Mode = iota
+	Delay       // each piece takes linkDelay longer
+	Reset       // connections are reset as soon as they carry anything
+	OneWay      // what the listener's peer is sent does not arrive
+	Silent      // nothing arrives either way
+)
+
+func (m Mode) String() string {
+	return [...]string{"pass", "delay", "reset", "one-way", "silent"}[m]
+}
+
+const (
+	linkDelay  = 100 * time.Millisecond
+	linkBuffer = 16 << 10
+	linkDial   = 1 * time.Second
+)
+
+// Link forwards TCP connections to one address and can do harm to them.
+type Link struct {
+	Listen, Target netip.AddrPort
+
+	mu      sync.Mutex
+	mode    Mode
+	muted   int           // connections up to this number are silent for good
+	number  int           // of connections so far
+	changed chan struct{} // closed when mode or muted changes
+}
+
+// NewLink returns a link that passes everything.
+func NewLink(listen, target netip.AddrPort) *Link {
+	return &Link{Listen: listen, Target: target, changed: make(chan struct{})}
+}
+
+// Set changes what the link does.
+func (l *Link) Set(m Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = m
+	l.wake()
+}
+
+// Mute makes the connections that are open now silent for good; new ones work.
+func (l *Link) Mute() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.muted = l.number
+	l.wake()
+}
+
+func (l *Link) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Run forwards connections until the context ends.
+func (l *Link) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", l.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen for a link: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept on a link: %w", err)
+		}
+		go l.forward(ctx, conn)
+	}
+}
+
+func (l *Link) forward(ctx context.Context, near net.Conn) {
+	dialer := net.Dialer{Timeout: linkDial}
+	far, err := dialer.DialContext(ctx, "tcp", l.Target.String())
+	if err != nil {
+		reset(near)
+		return
+	}
+	l.mu.Lock()
+	l.number++
+	number := l.number
+	l.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(ctx, func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	go l.copy(ctx, cancel, number, far, near, false)
+	l.copy(ctx, cancel, number, near, far, true)
+}
+
+// copy moves one direction's bytes. An end of the stream is passed on as such, and
+// everything else ends both directions.
+func (l *Link) copy(ctx context.Context, end context.CancelFunc, number int, to, from net.Conn, back bool) {
+	buf := make([]byte, linkBuffer)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !l.let(ctx, number, back) {
+			reset(to)
+			reset(from)
+			end()
+			return
+		}
+		if _, werr := to.Write(buf[:n]); werr != nil {
+			end()
+			return
+		}
+		if errors.Is(err, io.EOF) {
+			if half, ok := to.(*net.TCPConn); ok && half.CloseWrite() == nil && !back {
+				return
+			}
+		}
+		if err != nil {
+			end()
+			return
+		}
+	}
+}
+
+// let waits until a piece may pass and reports whether its connection goes on.
+func (l *Link) let(ctx context.Context, number int, back bool) bool {
+	for {
+		l.mu.Lock()
+		mode, muted, changed := l.mode, number <= l.muted, l.changed
+		l.mu.Unlock()
+		switch {
+		case muted, mode == Silent, mode == OneWay && back:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return false
+			}
+		case mode == Reset:
+			return false
+		case mode == Delay:
+			time.Sleep(linkDelay)
+			return true
+		default:
+			return true
+		}
+	}
+}
+
+// reset closes a connection so that its other end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+)
+
+// Config describes a run.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration // of the disruptions; the calm at the end comes on top
+	Nodes    int
+	Clients  int
+	Program  string // celerynode
+	Dir      string // for settings and logs
+	Out      io.Writer
+}
+
+// Run plays one seed and returns the broken promises.
+func Run(ctx context.Context, c Config) ([]string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &History{}
+	f := NewFleet(c.Dir, c.Program, c.Nodes, int(c.Seed%(100*250)), h)
+	defer f.Stop()
+	defer cancel()
+	if err := f.Start(ctx, int(c.Seed%(100*250))); err != nil {
+		return nil, fmt.Errorf("start the fleet: %w", err)
+	}
+	calling, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	for n := range c.Clients {
+		f.group.Go(func() { newClient(f, n, c.Seed).run(calling) })
+	}
+	i := &injector{fleet: f, random: rand.New(rand.NewPCG(c.Seed, 1)), out: c.Out, start: time.Now()}
+	i.run(ctx, time.Now().Add(c.Duration))
+	i.say("calm")
+	i.rest(ctx, stopBound+finalCalm)
+	hangUp()
+	time.Sleep(patience)
+	return h.Check(), ctx.Err()
+}
--- /dev/null
+++ b/internal/soak/run_test.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"celeryshelf/internal/fleet"
+)
+
+// TestSeed plays a short run of one seed over real processes.
+func TestSeed(t *testing.T) {
+	dir := t.TempDir()
+	program, err := fleet.BuildSidecar(t.Context(), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken, err := Run(t.Context(), Config{
+		Seed: 1, Duration: 6 * time.Second, Nodes: 6, Clients: 6, Program: program, Dir: dir, Out: t.Output(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range broken {
+		t.Error(b)
+	}
+}
