--- a/cmd/bench/experiments.go
+++ b/cmd/bench/experiments.go
@@ -26,6 +26,7 @@
 		{"silent", "a node whose connections stand and say nothing", "found <= 2", silent},
 		{"roll", "every node replaced under load", "cut 0", roll},
 		{"slopes", "what a node spends on control, over sizes", "none: the figures behind docs/CAPACITY.md", slopes},
+		{"sidecar", "what a node of the users' platform costs", "served all, calls <= 1 while idle", sidecar},
 		{"inside", "every workspace within its rate, one slow endpoint", "wrong <= 0.0005", inside},
 	}
 }
--- a/cmd/bench/result.go
+++ b/cmd/bench/result.go
@@ -43,6 +43,8 @@
 	Cut      *float64 `json:"cut,omitempty"`
 	Back     *float64 `json:"back,omitempty"`
 	Calls    *float64 `json:"calls,omitempty"`
+	Cost     *float64 `json:"cost,omitempty"`
+	Resident *float64 `json:"resident,omitempty"`
 	Bytes    *float64 `json:"bytes,omitempty"`
 	CPU      *float64 `json:"cpu,omitempty"`
 	Added    *float64 `json:"added,omitempty"`
@@ -93,6 +95,8 @@
 	{"cut", "requests that a planned stop broke off"},
 	{"back", "nodes that reverted to an older configuration"},
 	{"calls", "store calls a node a second"},
+	{"cost", "processor time of all nodes for each request, what they take idle left out, ms"},
+	{"resident", "resident memory of a node at its peak, the highest, MB"},
 	{"bytes", "control bytes a node a second"},
 	{"cpu", "processor share of a node, of one core"},
 	{"added", "p99 of the latency added to a call by two nodes, ms"},
--- /dev/null
+++ b/cmd/bench/sidecar.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/soak"
+)
+
+const (
+	sidecarNodes = 6
+	// sidecarSettle is when a fleet that has started no longer tells itself about it.
+	sidecarSettle  = 8 * time.Second
+	sidecarIdle    = 10 * time.Second
+	sidecarLoad    = 15 * time.Second
+	sidecarClients = 8
+	// mostIdleCalls of a node a second reach the store while nothing happens.
+	mostIdleCalls = 1.0
+)
+
+// sidecar measures what a node of the users' platform costs: processor time a call,
+// resident memory, and store calls while nothing happens.
+func sidecar(ctx context.Context, r request) (Result, error) {
+	dir := r.Keep
+	if dir == "" {
+		temporary, err := os.MkdirTemp("", "bench")
+		if err != nil {
+			return Result{}, fmt.Errorf("make a folder: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(temporary) }()
+		dir = temporary
+	}
+	program, err := fleet.BuildSidecar(ctx, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f := soak.NewFleet(dir, program, sidecarNodes, int(r.Seed), &soak.History{})
+	defer f.Stop()
+	defer cancel()
+	if err := f.Start(ctx, int(r.Seed)); err != nil {
+		return Result{}, err
+	}
+	time.Sleep(sidecarSettle)
+	calls := f.StoreCalls()
+	rested, _, err := usage(f)
+	if err != nil {
+		return Result{}, err
+	}
+	time.Sleep(sidecarIdle)
+	idle := float64(f.StoreCalls()-calls) / sidecarIdle.Seconds() / sidecarNodes
+	before, _, err := usage(f)
+	if err != nil {
+		return Result{}, err
+	}
+	loaded, stop := context.WithTimeout(ctx, sidecarLoad)
+	defer stop()
+	f.Call(loaded, sidecarClients, r.Seed)
+	after, peak, err := usage(f)
+	if err != nil {
+		return Result{}, err
+	}
+	sent, served := f.Served()
+	resting := time.Duration(float64(before-rested) * sidecarLoad.Seconds() / sidecarIdle.Seconds())
+	out := Result{Figures: Figures{
+		Calls: num(idle), Cost: num((after - before - resting).Seconds() * 1000 / float64(max(1, sent))), Resident: num(float64(peak) / (1 << 20)),
+		Sent: count(sent), Lost: count(sent - served),
+	}}
+	out.OK = sent > 0 && sent == served && idle <= mostIdleCalls
+	return out, nil
+}
+
+// usage returns the processor time of all nodes and the highest peak of memory, in bytes.
+func usage(f *soak.Fleet) (sum time.Duration, peak int64, err error) {
+	for _, p := range f.Processes() {
+		processor, memory, err := p.Usage()
+		if err != nil {
+			return 0, 0, err
+		}
+		sum, peak = sum+processor, max(peak, memory)
+	}
+	return sum, peak, nil
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -70,6 +72,44 @@
 // ID returns the process id.
 func (p *Process) ID() int { return p.cmd.Process.Pid }
 
+// clockTick is the kernel's unit of a process's processor time.
+const clockTick = 10 * time.Millisecond
+
+// Usage returns the processor time that the process has taken and its resident memory
+// at its peak, in bytes.
+func (p *Process) Usage() (processor time.Duration, peak int64, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.ID()))
+	if err != nil {
+		return 0, 0, fmt.Errorf("usage of %s: %w", p.name, err)
+	}
+	// The name in parentheses may hold spaces; user and system time are the 12th and
+	// 13th field behind it.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return 0, 0, fmt.Errorf("usage of %s: %d fields", p.name, len(fields))
+	}
+	for _, f := range []string{fields[user], fields[system]} {
+		ticks, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, 0, fmt.Errorf("usage of %s: %w", p.name, err)
+		}
+		processor += time.Duration(ticks) * clockTick
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.ID()))
+	if err != nil {
+		return 0, 0, fmt.Errorf("usage of %s: %w", p.name, err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return processor, kilobytes << 10, err
+		}
+	}
+	return processor, 0, nil
+}
+
 // Kill ends the process at once.
 func (p *Process) Kill() error { return p.signal(syscall.SIGKILL) }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -240,6 +240,46 @@
 	f.group.Wait()
 }
 
+// StoreCalls returns how many calls the store has been asked.
+func (f *Fleet) StoreCalls() int { return f.store.Calls() }
+
+// Processes returns the nodes' processes.
+func (f *Fleet) Processes() []*fleet.Process {
+	var out []*fleet.Process
+	for _, u := range f.units {
+		u.mu.Lock()
+		out = append(out, u.node)
+		u.mu.Unlock()
+	}
+	return out
+}
+
+// Call has clients send requests until the context ends and waits for their answers.
+func (f *Fleet) Call(ctx context.Context, clients int, seed uint64) {
+	var group sync.WaitGroup
+	for n := range clients {
+		group.Go(func() { newClient(f, n, seed).run(ctx) })
+	}
+	group.Wait()
+}
+
+// Served returns how many requests of the workspace inside its rate were sent, and how
+// many of them were answered with success.
+func (f *Fleet) Served() (sent, served int) {
+	f.history.note(func() {
+		for _, r := range f.history.Requests {
+			if r.Workspace != steady {
+				continue
+			}
+			sent++
+			if r.Status == http.StatusOK {
+				served++
+			}
+		}
+	})
+	return sent, served
+}
+
 // table is how the platform writes a list of records.
 type table struct {
 	Columns []string `json:"columns"`
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,14 +31,16 @@
 	}
 	calling, hangUp := context.WithCancel(ctx)
 	defer hangUp()
-	for n := range c.Clients {
-		f.group.Go(func() { newClient(f, n, c.Seed).run(calling) })
-	}
+	called := make(chan struct{})
+	go func() {
+		defer close(called)
+		f.Call(calling, c.Clients, c.Seed)
+	}()
 	i := &injector{fleet: f, random: rand.New(rand.NewPCG(c.Seed, 1)), out: c.Out, start: time.Now()}
 	i.run(ctx, time.Now().Add(c.Duration))
 	i.say("calm")
 	i.rest(ctx, stopBound+finalCalm)
 	hangUp()
-	time.Sleep(patience)
+	<-called
 	return h.Check(), ctx.Err()
 }
--- a/internal/standin/items.go
+++ b/internal/standin/items.go
@@ -154,6 +154,13 @@
 	s.end(id)
 }
 
+// Calls returns how many calls have come in.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // Call counts a call and returns the faults in force.
 func (s *Store) Call() Faults {
 	s.mu.Lock()
