core/route: loads count only where there is room

All nodes hear the same loads and move at once. Change: an endpoint with room is as good as an idle one, which keeps calls in their domain; one that is crowded is judged by the calls under way from here, as before.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -19,11 +19,12 @@
 	slowStart      = 3 * time.Second
 	slowStartFloor = 0.1
 	defaultLatency = 5 * time.Millisecond
-	// roomy is the load up to which one more call waits for nobody; every further tenth
-	// of the slots is taken to lengthen it by steep tenths: a queue as long as the slots
-	// takes another service time, and a call of a full target may be refused.
-	roomy = 0.5
-	steep = 3.0
+	// roomy is the load up to which one more call waits for nobody. Beyond it the calls
+	// under way from here count: news of load is as old as the answer it came with, and
+	// all nodes that have it would move at once. crowded is what being there costs by
+	// itself, more than another domain does.
+	roomy   = 0.5
+	crowded = 0.5
 	// loadFresh is how long a load that came with an answer counts: a few service times.
 	loadFresh = 1 * time.Second
 )
@@ -74,8 +75,10 @@
 	if e.Slots == 0 || e.told.IsZero() || now.Sub(e.told) > loadFresh {
 		return float64(e.open + 1)
 	}
-	load := e.load + float64(e.sent)/float64(e.Slots)
-	return 1 + steep*max(0, load-roomy)
+	if e.load+float64(e.sent)/float64(e.Slots) <= roomy {
+		return 1
+	}
+	return 1 + crowded + float64(e.open)
 }
 
 // Loaded takes in how many calls the target had by its slots, those that wait included.
