core, io/store, platform/standin: arrivals, claims and following in files of their own

The soak spoke the platform's names itself: requests, configurations and readiness as the platform has them are built by its stand-ins now.

--- /dev/null
+++ b/core/arrive.go
@@ -0,0 +1,270 @@
+package core
+
+import (
+	"time"
+
+	"celeryshelf/core/admit"
+	"celeryshelf/core/manifest"
+	"celeryshelf/core/plan"
+	"celeryshelf/core/quota"
+	"celeryshelf/core/retry"
+)
+
+// arrive takes in a new call from any side.
+func (s *State) arrive(now time.Time, e *Arrive) {
+	c := s.newCall(e.Call)
+	c.origin, c.repeat, c.request, c.name = e.Origin, e.Replayable, e.Request, e.ID
+	switch e.Origin {
+	case FromCaller:
+		s.arriveCaller(now, c, e)
+	case FromEither:
+		s.arriveEither(now, c, e)
+	case FromTarget:
+		s.arriveTarget(now, c, e)
+	case FromNode:
+		s.arriveNode(now, c, e)
+	}
+}
+
+// resolve finds the route of a call that enters the graph's next service here.
+func (s *State) resolve(now time.Time, c *call, e *Arrive) *manifest.Route {
+	if s.config == nil {
+		s.refuse(now, c, NoManifest)
+		return nil
+	}
+	r := s.config.routes[e.Route]
+	if r == nil {
+		s.refuse(now, c, s.unless(now, UnknownRoute))
+		return nil
+	}
+	timeout := r.Timeout.Duration
+	if e.Timeout > 0 {
+		timeout = min(timeout, e.Timeout)
+	}
+	c.route, c.service, c.once = r.Name, s.part(r, e.Call), r.Once
+	c.allowed = r.Attempts
+	c.deadline = now.Add(timeout)
+	c.patience = timeout
+	if r.Target.Duration > 0 {
+		c.patience = time.Duration(patienceShare * float64(r.Target.Duration))
+	}
+	return r
+}
+
+// part draws the service that a call of a split route goes to.
+func (s *State) part(r *manifest.Route, id CallID) string {
+	parts := r.Services()
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	draw := float64(spreadBits(uint64(id))>>11) / (1 << 53) * total
+	for _, p := range parts {
+		if draw -= p.Weight; draw < 0 {
+			return p.Service
+		}
+	}
+	return parts[0].Service
+}
+
+func (s *State) arriveCaller(now time.Time, c *call, e *Arrive) {
+	if !s.shut.IsZero() && !now.Before(s.shut) {
+		s.refuse(now, c, Draining)
+		return
+	}
+	r := s.resolve(now, c, e)
+	if r == nil {
+		return
+	}
+	if !s.authorize(now, c, e, r) {
+		return
+	}
+	c.rank = admit.Rank{Class: s.config.class(c.workspace, r), Hash: s.rankHash(e.Seed)}
+	if e.Origin != FromTarget {
+		c.budget = s.ratio.Draw(now, s.config.source.Manifest.Retries)
+	}
+	s.identify(c, e.Repeat)
+	if !s.keeps(now, c, e) {
+		s.refuse(now, c, ShedByLevel)
+		return
+	}
+	s.charge(now, c)
+}
+
+// keeps reports whether overload lets a call in.
+func (s *State) keeps(now time.Time, c *call, e *Arrive) bool {
+	if !s.plans {
+		return c.rank.Score() >= s.levels.Level(now, c.route, c.workspace)
+	}
+	if !e.Keyed && s.planning.learner.Running() {
+		// Without a key this is a call by the local target for one that it runs,
+		// which was let in with its whole tree.
+		s.planning.learner.Called(now, c.route)
+		return true
+	}
+	s.planning.meter.Offer(c.route, c.rank.Class, s.planning.first(c.route, e.Timeout))
+	s.allowance.Called(now, c.service)
+	return s.planned(now, c)
+}
+
+// rankHash draws a rank from the identity of a root call, the same at whichever
+// node it enters. The salt keeps callers from choosing identities that rank high.
+func (s *State) rankHash(seed uint64) uint16 {
+	return uint16(spreadBits(seed^s.config.salt) % admit.HashBuckets)
+}
+
+// authorize finds the workspace whose key came with the call.
+func (s *State) authorize(now time.Time, c *call, e *Arrive, r *manifest.Route) bool {
+	if e.Keyed && !s.isolated(now) {
+		if w := s.config.digests[e.Key]; w != nil {
+			c.workspace, c.weight = w.Name, w.Rate
+			return true
+		}
+	}
+	if r.Open {
+		c.weight = s.config.meanRate
+		return true
+	}
+	s.refuse(now, c, s.unless(now, UnknownKey))
+	return false
+}
+
+// unless returns a reason that the manifest gives, or Isolated where a newer manifest
+// may say otherwise.
+func (s *State) unless(now time.Time, why Reason) Reason {
+	if s.isolated(now) {
+		return Isolated
+	}
+	return why
+}
+
+// identify marks a call that must run at most once among its own repeats.
+func (s *State) identify(c *call, repeat uint64) {
+	if c.once && repeat != 0 {
+		c.identity = retry.Identity{Workspace: c.workspace, Key: repeat}
+	}
+}
+
+// charge takes a token of the workspace's allowance before the call goes on.
+func (s *State) charge(now time.Time, c *call) {
+	if s.config.limited(c.workspace) == nil {
+		s.dispatch(now, c, "")
+		return
+	}
+	c.phase = waitingQuota
+	switch s.holder.Take(now, c.workspace, quota.Claim{
+		Call: uint64(c.id), Keep: s.keep(c.rank.Class), Deadline: c.deadline, Patience: c.patience,
+	}) {
+	case quota.Denied:
+		s.refuse(now, c, s.denial(c.workspace))
+	case quota.Taken:
+		s.dispatch(now, c, "")
+	case quota.Waiting:
+	}
+	s.ask(now)
+}
+
+// arriveEither tells calls of the local target from those of callers: they have
+// no key, and their names tell what they are made for.
+func (s *State) arriveEither(now time.Time, c *call, e *Arrive) {
+	p := s.named[e.ParentID]
+	if e.Keyed || p == nil || p.phase != running || !s.openRoute(e.Route) {
+		s.arriveCaller(now, c, e)
+		return
+	}
+	if s.resolve(now, c, e) == nil {
+		return
+	}
+	s.adopted(now, c, p)
+	c.weight = s.config.meanRate
+	s.allowance.Called(now, c.service)
+	p.note(c.route)
+	s.dispatch(now, c, "")
+}
+
+// note counts a call made for this one.
+func (c *call) note(route string) {
+	for i := range c.made {
+		if c.made[i].Route == route {
+			c.made[i].Times++
+			return
+		}
+	}
+	c.made = append(c.made, plan.Calls{Route: route, Times: 1})
+}
+
+// adopted makes a call the child of one that runs at the local target.
+func (s *State) adopted(now time.Time, c, p *call) {
+	if p.open == 0 {
+		p.idle = now
+	}
+	p.open++
+	c.parent, c.loan = p.id, p.budget.Lend()
+	c.budget = retry.NewBudget(c.loan)
+	c.rank = p.rank.Child()
+	if p.deadline.Before(c.deadline) {
+		c.deadline = p.deadline
+	}
+}
+
+func (s *State) arriveTarget(now time.Time, c *call, e *Arrive) {
+	p, ok := s.calls[e.Parent]
+	if !ok || p.phase != running {
+		// Without the context of a running call nothing tells for which
+		// workspace this is, so only open routes and keys get further. The
+		// key is checked as for any outside caller.
+		if e.Keyed || s.openRoute(e.Route) {
+			s.arriveCaller(now, c, e)
+			return
+		}
+		s.refuse(now, c, NoContext)
+		return
+	}
+	s.arriveChild(now, c, e, p)
+}
+
+func (s *State) openRoute(name string) bool {
+	if s.config == nil {
+		return false
+	}
+	r := s.config.routes[name]
+	return r != nil && r.Open
+}
+
+func (s *State) arriveChild(now time.Time, c *call, e *Arrive, p *call) {
+	if s.resolve(now, c, e) == nil {
+		return
+	}
+	if p.repeats(e.Request) && !p.budget.Spend() {
+		s.refuse(now, c, BudgetSpent)
+		return
+	}
+	s.adopted(now, c, p)
+	c.workspace, c.weight = p.workspace, p.weight
+	s.identify(c, e.Repeat)
+	s.dispatch(now, c, "")
+}
+
+func (s *State) arriveNode(now time.Time, c *call, e *Arrive) {
+	p := &e.Pass
+	c.from = p.From
+	c.route, c.workspace, c.rank, c.once = p.Route, p.Workspace, p.Rank, p.Once
+	c.service, c.weight = s.self.Service, s.weight(p.Workspace)
+	c.deadline = now.Add(p.Timeout)
+	c.budget = retry.NewBudget(p.Budget)
+	c.settles = !s.plans
+	s.identify(c, p.Repeat)
+	switch {
+	case p.Target != s.self.Name:
+		s.refuse(now, c, WrongTarget)
+	case s.self.Closed:
+		s.refuse(now, c, Draining)
+	default:
+		c.endpoint = s.routes.Find(s.self.Service, s.self.Name)
+		c.endpoint.Begin()
+		s.offer(now, c)
+	}
+}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"celeryshelf/io/http1"
+	"celeryshelf/platform/standin"
 )
 
 const (
 	pauseBetween = 25 * time.Millisecond // of one client's requests, about
 	patience     = 2500 * time.Millisecond
-	allowedMS    = "2000" // Deadline-Milliseconds of a request
+	allowed      = 2 * time.Second // for the answer, as the request says
+	maxBody      = 4000            // bytes of an order
 	maxAnswer    = 1 << 20
 )
 
@@ -57,13 +59,16 @@
 	if old, ok := c.withdrawn(); ok && c.random.IntN(8) == 0 {
 		r.Key, r.Workspace = old.Key, old.Workspace
 	}
-	method, host, path := http.MethodGet, "maps.example", "/page/"+r.ID
+	a := standin.Ask{ID: r.ID, Method: http.MethodGet, Host: hostPage, Path: "/page/" + r.ID, Deadline: allowed}
+	mark := 0
 	switch c.random.IntN(6) {
 	case 0:
 		r.Key = "" // the route is open
-		r.Kind, host, path = kindMark, "mark.example", fmt.Sprintf("/v%d/%s", 1+c.random.IntN(version), r.ID)
+		mark = 1 + c.random.IntN(version)
+		r.Kind, a.Host, a.Path = kindMark, hostMark, markPath(mark)+r.ID
 	case 1, 2:
-		r.Kind, method, host, path = kindOrder, http.MethodPost, "nursery.example", "/order/"+r.ID
+		r.Kind, a.Method, a.Host, a.Path = kindOrder, http.MethodPost, hostOrder, "/order/"+r.ID
+		a.Body = strings.Repeat("x", c.random.IntN(maxBody))
 	default:
 		r.Kind = kindPage
 	}
@@ -71,14 +76,13 @@
 	u.mu.Lock()
 	process := u.process
 	u.mu.Unlock()
-	c.send(ctx, &r, method, host, path)
+	a.Key = r.Key
+	c.send(ctx, &r, a)
 	c.fleet.history.note(func() {
 		h := c.fleet.history
 		h.Requests = append(h.Requests, r)
 		if r.Kind == kindMark && (r.Status == http.StatusOK || r.Status == http.StatusNotFound) {
-			var v int
-			_, _ = fmt.Sscanf(path, "/v%d/", &v) // written so above
-			h.Seen = append(h.Seen, Seen{Node: node, Process: process, Version: v, InForce: r.Status == http.StatusOK, Sent: r.Sent})
+			h.Seen = append(h.Seen, Seen{Node: node, Process: process, Version: mark, InForce: r.Status == http.StatusOK, Sent: r.Sent})
 		}
 	})
 }
@@ -94,24 +98,14 @@
 }
 
 // send makes the request and notes how it ended.
-func (c *client) send(ctx context.Context, r *Request, method, host, path string) {
+func (c *client) send(ctx context.Context, r *Request, a standin.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	body := ""
-	if method == http.MethodPost {
-		body = strings.Repeat("x", c.random.IntN(4000))
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[r.Node].Address.String()+path, strings.NewReader(body))
+	req, err := standin.NewRequest(ctx, c.nodes[r.Node].Address, a)
 	if err != nil {
 		r.Fault = err.Error()
 		return
 	}
-	req.Host = host
-	req.Header.Set("Request-Id", r.ID)
-	req.Header.Set("Deadline-Milliseconds", allowedMS)
-	if r.Kind != kindMark {
-		req.Header.Set("Authorization", "Bearer "+r.Key)
-	}
 	r.Sent = time.Now()
 	defer func() { r.Ended = time.Now() }()
 	res, err := c.nodes[r.Node].RoundTrip(req)
@@ -126,7 +120,7 @@
 	}
 	r.Status = res.StatusCode
 	if r.Status == http.StatusOK {
-		r.Fault = r.wrong(res, string(text), len(body))
+		r.Fault = r.wrong(res, string(text), len(a.Body))
 	}
 }
 
@@ -141,7 +135,7 @@
 			return fmt.Sprintf("the answer lacks %q: %s", want, text)
 		}
 	}
-	if got := res.Header.Get("Request-Id"); got != r.ID {
+	if got := standin.Named(res); got != r.ID {
 		return "the answer names " + got
 	}
 	return ""
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -155,7 +154,7 @@
 		ID: fmt.Sprintf("t%d-%d", u.index, u.born), Service: u.service, Listen: u.at(portTarget),
 		Node: u.at(portCaller), Control: u.at(portHeartbeat), Announce: u.at(portTargetLink),
 		Slots: slots, Work: manifest.Duration{Duration: work}, Beat: manifest.Duration{Duration: beat},
-		Calls: map[string][]standin.Call{"/page/": {{Host: "stock.example", Path: "/stock/x"}}},
+		Calls: map[string][]standin.Call{"/page/": {{Host: hostStock, Path: "/stock/x"}}},
 		Ran: func(id, workspace string) {
 			f.history.note(func() {
 				f.history.Arrivals = append(f.history.Arrivals, Arrival{
@@ -205,13 +204,7 @@
 	for end := time.Now().Add(readyWithin); ; time.Sleep(100 * time.Millisecond) {
 		waiting := 0
 		for _, u := range f.units {
-			res, err := http.Get("http://" + u.at(portReady).String() + "/readiness")
-			if err != nil {
-				waiting++
-				continue
-			}
-			_ = res.Body.Close()
-			if res.StatusCode != http.StatusOK {
+			if !standin.Ready(u.at(portReady)) {
 				waiting++
 			}
 		}
@@ -280,45 +273,43 @@
 	return sent, served
 }
 
-// table is how the platform writes a list of records.
-type table struct {
-	Columns []string `json:"columns"`
-	Rows    [][]any  `json:"rows"`
-}
-
 // Configure writes the next version, with a route of its own, as the operators do.
 func (f *Fleet) Configure() {
 	f.version++
-	routes := table{Columns: []string{"name", "host", "path-prefix", "kind", "timeout-ms", "target-latency-ms", "priority", "attempts", "public", "service"}}
-	routes.Rows = append(routes.Rows,
-		[]any{"page", "maps.example", "/page/", "safe", 1200, 600, 1, 2, false, "maps"},
-		[]any{"order", "nursery.example", "/order/", "unsafe", 1500, 800, 0, 2, false, "nursery"},
-		[]any{"stock", "stock.example", "/stock/", "safe", 800, 300, 2, 2, true, "stock"},
-	)
+	c := standin.Config{Version: f.version, Services: services, Routes: []standin.Route{
+		{Name: "page", Host: hostPage, Prefix: "/page/", Service: "maps", Timeout: 1200 * time.Millisecond, Target: 600 * time.Millisecond, Priority: 1, Attempts: 2},
+		{Name: "order", Host: hostOrder, Prefix: "/order/", Service: "nursery", Unsafe: true, Timeout: 1500 * time.Millisecond, Target: 800 * time.Millisecond, Attempts: 2},
+		{Name: "stock", Host: hostStock, Prefix: "/stock/", Service: "stock", Public: true, Timeout: 800 * time.Millisecond, Target: 300 * time.Millisecond, Priority: 2, Attempts: 2},
+	}}
 	for v := 1; v <= f.version; v++ {
-		routes.Rows = append(routes.Rows, []any{"mark-" + strconv.Itoa(v), "mark.example", fmt.Sprintf("/v%d/", v), "safe", 800, 300, 3, 2, true, "stock"})
+		c.Routes = append(c.Routes, standin.Route{
+			Name: "mark-" + strconv.Itoa(v), Host: hostMark, Prefix: markPath(v), Service: "stock", Public: true,
+			Timeout: 800 * time.Millisecond, Target: 300 * time.Millisecond, Priority: 3, Attempts: 2,
+		})
 	}
-	tenants := table{Columns: []string{"name", "api-keys", "requests-per-s", "burst"}}
 	for _, w := range workspaces {
-		tenants.Rows = append(tenants.Rows, []any{w.name, []string{f.keys[w.name]}, w.rate, w.burst})
-	}
-	list := table{Columns: []string{"name"}}
-	for _, s := range services {
-		list.Rows = append(list.Rows, []any{s})
+		c.Tenants = append(c.Tenants, standin.Tenant{Name: w.name, Key: f.keys[w.name], Rate: w.rate, Burst: w.burst})
 	}
-	value, err := json.Marshal(map[string]any{
-		"version": "r" + strconv.Itoa(f.version), "routes": routes, "services": list, "tenants": tenants,
-		"limits": map[string]int{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
-	if err != nil {
-		panic(err) // only values of this file are encoded
+	if _, err := f.store.Configure(c); err != nil {
+		f.history.note(func() { f.history.Ends = append(f.history.Ends, err.Error()) })
+		return
 	}
-	f.store.Operate("config", value)
 	f.history.note(func() {
 		f.history.Versions = append(f.history.Versions, Version{Number: f.version, At: time.Now()})
 	})
 }
 
+// Hosts of the routes.
+const (
+	hostPage  = "maps.example"
+	hostOrder = "nursery.example"
+	hostStock = "stock.example"
+	hostMark  = "mark.example"
+)
+
+// markPath is the path of a version's own route.
+func markPath(version int) string { return fmt.Sprintf("/v%d/", version) }
+
 // Withdraw gives a workspace another key in place of its own.
 func (f *Fleet) Withdraw(name string) {
 	old := f.keys[name]
