--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,6 +18,7 @@
 	"celeryshelf/internal/document"
 	"celeryshelf/internal/logging"
 	"celeryshelf/internal/standalone"
+	"celeryshelf/internal/version"
 )
 
 // Exit codes of the program.
@@ -36,7 +37,18 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			nodeCommand(), checkCommand(out), applyCommand(out), statusCommand(out),
-			drainCommand(out), schemaCommand(out), digestCommand(out), demoCommand(out),
+			drainCommand(out), schemaCommand(out), digestCommand(out), demoCommand(out), versionCommand(out),
+		},
+	}
+}
+
+func versionCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the revision and the Go release that the program was built from",
+		Action: func(context.Context, *cli.Command) error {
+			_, err := fmt.Fprintln(out, "celeryshelf", version.String())
+			return err
 		},
 	}
 }
