--- a/core/member/member.go
+++ b/core/member/member.go
@@ -12,7 +12,7 @@
 	Service     string         `json:"service"`
 	Domain      string         `json:"domain"`
 	Region      string         `json:"region,omitempty"`
-	Node        netip.AddrPort `json:"node"`             // calls over HTTP/2
+	Node        netip.AddrPort `json:"node"`             // calls
 	Control     netip.AddrPort `json:"control"`          // messages over jsonrpc2
 	Incarnation uint64         `json:"inc"`              // rises with each start of the process
 	Revision    uint64         `json:"rev"`              // rises with each change of the announcement
