internal/soak: tests of links listen on addresses of their own

TestLinkModes before it listened on the same address; its link ends with its context, but its listener is closed a moment later and can still take a connection, which is then cut. Change: an address a test; the checks are the same.

--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -28,10 +28,11 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// linked starts a link to an echo and returns how to dial it.
-func linked(t *testing.T) (*Link, func() net.Conn) {
+// linked starts a link to an echo on an address that no other test uses, since a link
+// that has ended may still take connections for a moment, and returns how to dial it.
+func linked(t *testing.T, listen string) (*Link, func() net.Conn) {
 	t.Helper()
-	l := NewLink(netip.MustParseAddrPort("127.105.7.9:8080"), echo(t))
+	l := NewLink(netip.MustParseAddrPort(listen), echo(t))
 	go func() { _ = l.Run(t.Context()) }()
 	return l, func() net.Conn {
 		for range 100 {
@@ -57,7 +58,7 @@
 }
 
 func TestLinkModes(t *testing.T) {
-	l, dial := linked(t)
+	l, dial := linked(t, "127.105.7.9:8080")
 	for _, tt := range []struct {
 		mode Mode
 		want bool
@@ -70,7 +71,7 @@
 }
 
 func TestMutedConnectionsStaySilent(t *testing.T) {
-	l, dial := linked(t)
+	l, dial := linked(t, "127.105.7.10:8080")
 	old := dial()
 	if !answers(old) {
 		t.Fatal("no answer before")
