internal/soak: the fleet keeps where its store listens

NewFleet and Start both took the run's number, and callers reduced it by a figure of their own; the addresses of a seed are the same as before.

--- a/cmd/bench/sidecar.go
+++ b/cmd/bench/sidecar.go
@@ -38,10 +38,10 @@
 		return Result{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	f := soak.NewFleet(dir, program, sidecarNodes, int(r.Seed), &soak.History{})
+	f := soak.NewFleet(dir, program, sidecarNodes, r.Seed, &soak.History{})
 	defer f.Stop()
 	defer cancel()
-	if err := f.Start(ctx, int(r.Seed)); err != nil {
+	if err := f.Start(ctx); err != nil {
 		return Result{}, err
 	}
 	time.Sleep(sidecarSettle)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -79,18 +79,26 @@
 	dir, program string
 	history      *History
 	store        *standin.Store
+	metadata     netip.AddrPort // where the store listens
 	units        []*unit
 	version      int
 	keys         map[string]string // in force, by workspace
 	group        sync.WaitGroup
 }
 
-// NewFleet lays out n units on loopback addresses that the run's number sets apart.
-func NewFleet(dir, program string, n, run int, h *History) *Fleet {
-	f := &Fleet{dir: dir, program: program, history: h, store: standin.NewStore(), keys: map[string]string{}}
+// networks is how many runs have loopback addresses of their own.
+const networks = 100 * 250
+
+// NewFleet lays out n units on loopback addresses that the seed sets apart.
+func NewFleet(dir, program string, n int, seed uint64, h *History) *Fleet {
+	run := seed % networks
+	host := func(last int) netip.Addr {
+		return netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100), byte(last)})
+	}
+	f := &Fleet{metadata: netip.AddrPortFrom(host(1), portStore), dir: dir, program: program, history: h, store: standin.NewStore(), keys: map[string]string{}}
 	for i := range n {
 		u := &unit{
-			index: i, host: netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100 % 250), byte(10 + i)}),
+			index: i, host: host(10 + i),
 			service: services[i%len(services)], links: map[string]*Link{},
 		}
 		for name, ports := range map[string][2]int{
@@ -98,19 +106,15 @@
 		} {
 			u.links[name] = NewLink(u.at(ports[0]), u.at(ports[1]))
 		}
-		u.links["store"] = NewLink(u.at(portStoreLink), netip.AddrPortFrom(f.host(run), portStore))
+		u.links["store"] = NewLink(u.at(portStoreLink), f.metadata)
 		f.units = append(f.units, u)
 	}
 	return f
 }
 
-func (f *Fleet) host(run int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100 % 250), 1})
-}
-
 // Start starts everything and waits until every node is ready.
-func (f *Fleet) Start(ctx context.Context, run int) error {
-	if err := f.serve(ctx, netip.AddrPortFrom(f.host(run), portStore), f.store); err != nil {
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.serve(ctx, f.metadata, f.store); err != nil {
 		return err
 	}
 	go f.store.Expire(ctx.Done())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,10 +23,10 @@
 func Run(ctx context.Context, c Config) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	h := &History{}
-	f := NewFleet(c.Dir, c.Program, c.Nodes, int(c.Seed%(100*250)), h)
+	f := NewFleet(c.Dir, c.Program, c.Nodes, c.Seed, h)
 	defer f.Stop()
 	defer cancel()
-	if err := f.Start(ctx, int(c.Seed%(100*250))); err != nil {
+	if err := f.Start(ctx); err != nil {
 		return nil, fmt.Errorf("start the fleet: %w", err)
 	}
 	calling, hangUp := context.WithCancel(ctx)
