io/http1: bound what is read before a response is complete

Cause: http.ReadResponse limits neither the size of a head nor the number of interim responses. Change: a limit on the bytes read until a head is complete (Config.MaxHeadBytes, 64 KiB by default), at most 8 interim responses, and status codes outside 100 to 599 or 101 are errors. A write that is still in progress counts as sent.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -17,6 +17,13 @@
 // ErrNotSent reports that no byte of the request was sent.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrHeadTooLarge reports that the head of a response, with the interim responses before
+// it, exceeds Config.MaxHeadBytes.
+var ErrHeadTooLarge = errors.New("response head is too large")
+
+// ErrInvalidStatus reports a status code that no HTTP/1.1 response to the request can have.
+var ErrInvalidStatus = errors.New("invalid status code")
+
 // ErrResponseMismatch reports that a response belongs to an earlier request on the
 // connection. The response to the current request may follow it.
 var ErrResponseMismatch = errors.New("response belongs to another request")
@@ -27,6 +34,13 @@
 	maxMismatchedResponses = 2
 	// maxSkippedBodyBytes limits how much is read of the body of a skipped response.
 	maxSkippedBodyBytes = 256 << 10
+	// DefaultMaxHeadBytes is the limit on a response head if Config.MaxHeadBytes is 0.
+	DefaultMaxHeadBytes = 64 << 10
+	// maxInterimResponses is the number of interim (1xx) responses that may precede a
+	// response.
+	maxInterimResponses = 8
+	minStatus           = 100
+	maxStatus           = 599
 )
 
 // ResponseVerifier checks that a response belongs to its request. It returns an error
@@ -40,6 +54,9 @@
 	Address     netip.AddrPort
 	Verifier    ResponseVerifier // nil if responses do not identify their requests
 	DialTimeout time.Duration    // 0 for the default of package tcp
+	// MaxHeadBytes limits the size of a response head, with the interim responses before
+	// it, in bytes. 0 stands for DefaultMaxHeadBytes.
+	MaxHeadBytes int
 }
 
 // Client sends requests to one address. It never retries a request.
@@ -55,6 +72,9 @@
 	if c.DialTimeout > 0 {
 		client.dialer.Timeout = c.DialTimeout
 	}
+	if c.MaxHeadBytes == 0 {
+		client.MaxHeadBytes = DefaultMaxHeadBytes
+	}
 	return client
 }
 
@@ -91,8 +111,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial: %w", ErrNotSent, err)
 	}
-	conn := &connection{Conn: raw}
-	conn.reader = bufio.NewReader(raw)
+	conn := &connection{Conn: raw, source: limitedReader{Reader: raw}}
+	conn.reader = bufio.NewReader(&conn.source)
 	return conn, nil
 }
 
@@ -126,7 +146,7 @@
 // earlier requests.
 func (c *Client) readResponse(conn *connection, req *http.Request) (*http.Response, error) {
 	for range maxMismatchedResponses + 1 {
-		res, err := readFinalResponse(conn.reader, req)
+		res, err := c.readFinalResponse(conn, req)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
@@ -147,12 +167,21 @@
 	return nil, ErrResponseMismatch
 }
 
-// readFinalResponse reads the head of a response and skips interim (1xx) responses.
-func readFinalResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(r, req)
-		if err != nil || res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
-			return res, err
+// readFinalResponse reads the head of a response and skips interim (1xx) responses. A
+// target may send bytes without end, so what is read until the head is complete is limited.
+func (c *Client) readFinalResponse(conn *connection, req *http.Request) (*http.Response, error) {
+	conn.source.limit(c.MaxHeadBytes + conn.reader.Size())
+	defer conn.source.unlimit()
+	for range maxInterimResponses + 1 {
+		res, err := http.ReadResponse(conn.reader, req)
+		switch {
+		case err != nil:
+			return nil, err
+		case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
+		case res.StatusCode >= http.StatusOK:
+			return res, nil
 		}
 	}
+	return nil, fmt.Errorf("more than %d interim responses: %w", maxInterimResponses, ErrHeadTooLarge)
 }
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -33,13 +33,38 @@
 // connection is a connection that carries one request at a time.
 type connection struct {
 	net.Conn
-	reader        *bufio.Reader
+	source        limitedReader // reads from Conn
+	reader        *bufio.Reader // reads from source
 	bytesWritten  atomic.Bool
 	writeResult   chan error // receives the result of a request that is written concurrently, nil if there is none
 	stopCancel    func() bool
 	reuseDeadline time.Time // the connection is not reused from this time on
 }
 
+// limitedReader limits the bytes that are read while a response head is parsed.
+type limitedReader struct {
+	io.Reader
+	limited   bool
+	remaining int // bytes that may still be read while limited is set
+}
+
+func (r *limitedReader) limit(n int) { r.limited, r.remaining = true, n }
+
+func (r *limitedReader) unlimit() { r.limited = false }
+
+// Read reads from the underlying reader. It returns ErrHeadTooLarge once the limit is used up.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.Reader.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 // writers pools the buffers of requests.
 var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
@@ -57,11 +82,14 @@
 	return w.Flush()
 }
 
-// Write writes to the connection and records whether any byte was sent.
+// Write writes to the connection and records whether any byte may have been sent. While a
+// call is in progress bytes may have been sent: it can still block when its request is
+// cancelled.
 func (c *connection) Write(p []byte) (int, error) {
+	before := c.bytesWritten.Swap(true)
 	n, err := c.Conn.Write(p)
-	if n > 0 {
-		c.bytesWritten.Store(true)
+	if n == 0 && !before {
+		c.bytesWritten.Store(false)
 	}
 	return n, err
 }
