--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -52,7 +52,11 @@
 
 // handleConfirmation applies the answer to a message that this node sent at the uptime that
 // the answer repeats.
-func (s *State) handleConfirmation(m *Confirmation) {
+func (s *State) handleConfirmation(now time.Time, m *Confirmation) {
+	if m.Age < 0 || m.RequesterUptime < 0 || m.RequesterUptime > now.Sub(s.started) {
+		s.addNotice(Notice{Kind: NoticeMessageRejected, Detail: "confirmation of a time that has not come"})
+		return
+	}
 	s.advanceConfirmedAt(m.Version, s.started.Add(m.RequesterUptime-m.Age))
 }
 
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -41,6 +41,7 @@
 	now := time.Unix(1000, 0)
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true, TargetHeartbeats: true})
 	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "t", StartUnixMilli: 1, Sequence: 1, Slots: 1}})
 	s.Step(now, &DrainRequested{CallerGrace: targetGrace, TargetGrace: targetGrace})
--- a/core/effect.go
+++ b/core/effect.go
@@ -174,6 +174,8 @@
 	NoticeTargetAvailable
 	NoticeTargetUnavailable
 	NoticePlanUpdated
+	NoticeMemberRejected
+	NoticeMessageRejected
 )
 
 // Notice is an event for the operators' log.
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -44,7 +44,7 @@
 		return Joined
 	}
 	p := &t.peers[i]
-	if !m.supersedes(p.Member) {
+	if !m.Supersedes(p.Member) {
 		return Stale
 	}
 	result := Updated
--- a/core/membership.go
+++ b/core/membership.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -60,6 +61,9 @@
 	if s.self.Draining && !s.target.closedByDrain && !now.Before(s.targetOpenUntil) {
 		s.closeTarget(now)
 	}
+	if now.Sub(s.started) >= recallTimeout {
+		s.endRecall(now)
+	}
 	s.expireAckWaits(now)
 	s.tickTokens(now)
 	s.sendShardUpdate(now)
@@ -208,11 +212,11 @@
 	case *ManifestResponse:
 		s.applyManifest(now, m.Manifest)
 	case *Confirmation:
-		s.handleConfirmation(m)
+		s.handleConfirmation(now, m)
 	case *Report:
 		s.handleReport(now, e.From, m)
 	case *Plan:
-		s.handleConfirmation(&m.Confirmation)
+		s.handleConfirmation(now, &m.Confirmation)
 		s.applyPlan(now, m.AdmitRatios)
 	case *IdempotencyRecord:
 		s.handleRecord(now, e.From, m)
@@ -268,7 +272,12 @@
 // mergeMember merges an announcement and reports whether it is from a process that was not
 // known before.
 func (s *State) mergeMember(now time.Time, m member.Member) bool {
+	if err := s.checkMember(&m); err != nil {
+		s.rejectMember(m, err)
+		return false
+	}
 	if m.Name == s.self.Name {
+		s.handleOwnRecord(now, m)
 		return false
 	}
 	before, _ := s.peers.Get(m.Name)
@@ -287,6 +296,45 @@
 	return change == member.Joined
 }
 
+// checkMember returns an error if no node of this fleet can have made an announcement.
+func (s *State) checkMember(m *member.Member) error {
+	if err := m.Validate(); err != nil {
+		return fmt.Errorf("announcement of %q: %w", m.Name, err)
+	}
+	if own := s.self.NodeAddr.Addr(); own.IsValid() && own.Is4() != m.NodeAddr.Addr().Is4() {
+		return fmt.Errorf("announcement of %q: address %s is not of the family of %s", m.Name, m.NodeAddr, own)
+	}
+	return nil
+}
+
+// maxRejectedMembers bounds the rejected announcements that are remembered.
+const maxRejectedMembers = 256
+
+// rejectMember reports an announcement that is not used, once for each version of it.
+func (s *State) rejectMember(m member.Member, err error) {
+	if s.rejectedMembers[m.Name] == m {
+		return
+	}
+	if s.rejectedMembers == nil || len(s.rejectedMembers) >= maxRejectedMembers {
+		s.rejectedMembers = map[string]member.Member{}
+	}
+	s.rejectedMembers[m.Name] = m
+	s.addNotice(Notice{Kind: NoticeMemberRejected, Detail: err.Error()})
+}
+
+// handleOwnRecord handles an announcement in this node's name that this process has not
+// made. It is from an earlier process of the node, or from another writer. If it would
+// supersede this node's own announcement, that is made again above it.
+func (s *State) handleOwnRecord(now time.Time, m member.Member) {
+	s.recallLeavingTarget(now, m)
+	if !m.Supersedes(s.self) {
+		return
+	}
+	s.self.Incarnation, s.self.Revision = m.Incarnation, m.Revision
+	s.announce()
+	s.syncRandomPeers(now, changeFanout)
+}
+
 // probe sends a peer FailureThreshold Syncs to find out whether it still answers. Failures in
 // quick succession count as one, so these alone do not make the peer unreachable if they
 // fail at once.
--- a/core/names.go
+++ b/core/names.go
@@ -54,6 +54,7 @@
 	NoticeLocalClockBehind: "own-clock-behind",
 	NoticeManifestRejected: "manifest-refused",
 	NoticeTargetAvailable:  "target-opened", NoticeTargetUnavailable: "target-closed", NoticePlanUpdated: "planned",
+	NoticeMemberRejected: "member-refused", NoticeMessageRejected: "message-refused",
 }
 
 // String returns the notice's name in logs.
--- a/core/plan/estimator.go
+++ b/core/plan/estimator.go
@@ -32,6 +32,27 @@
 	Calls    []ChildCalls  `json:"calls,omitempty"`
 }
 
+// Limits on the values of a cost that another node reports or that the store holds.
+const (
+	maxHoldTime   = time.Hour
+	maxRuns       = 1e9
+	maxChildCalls = 1e4 // calls of one run on one route
+	maxChildren   = 256
+)
+
+// valid reports whether a run can have this cost.
+func (r RouteCost) valid() bool {
+	if r.HoldTime < 0 || r.HoldTime > maxHoldTime || !(r.Runs > 0 && r.Runs <= maxRuns) || len(r.Calls) > maxChildren {
+		return false
+	}
+	return !slices.ContainsFunc(r.Calls, func(c ChildCalls) bool { return !(c.PerRun >= 0 && c.PerRun <= maxChildCalls) })
+}
+
+// ValidCosts returns the costs that a run can have, without the others.
+func ValidCosts(rows []RouteCost) []RouteCost {
+	return slices.DeleteFunc(slices.Clone(rows), func(r RouteCost) bool { return !r.valid() })
+}
+
 // ChildCalls is the number of calls that a run makes on another route.
 type ChildCalls struct {
 	Route  string  `json:"route"`
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -84,7 +84,7 @@
 
 // SetReport stores a node's report and replaces its previous one.
 func (p *Planner) SetReport(now time.Time, node string, r Report) {
-	p.reports[node] = timedReport{Report: r, receivedAt: now}
+	p.reports[node] = timedReport{Report: r.valid(), receivedAt: now}
 }
 
 // Plan returns the last plan. Calls that are not in it are admitted without restriction.
--- a/core/plan/planner_test.go
+++ b/core/plan/planner_test.go
@@ -160,3 +160,31 @@
 		t.Errorf("got %+v after calls have stopped, want no streams", got)
 	}
 }
+
+// TestOddReportsDoNotChangeThePlan guards against numbers in one node's report that no node
+// can have measured: a plan for the whole fleet would follow them.
+func TestOddReportsDoNotChangeThePlan(t *testing.T) {
+	now := time.Unix(100, 0)
+	demand := Demand{Route: "order", Class: 2, Rate: 300, FirstTryRate: 300}
+	want := testPlanner(now, 75, demand)
+	want.Replan(now, testSplit)
+	for name, odd := range map[string]Report{
+		"rate below 0":        {Demand: []Demand{{Route: "order", Class: 2, Rate: -250}}},
+		"rate too large":      {Demand: []Demand{{Route: "order", Class: 2, Rate: 1e300, FirstTryRate: 1e300}}},
+		"rate of nothing":     {Demand: []Demand{{Route: "order", Class: 2}, {Route: "page"}}},
+		"slots too large":     {Load: Load{Service: "deep", Slots: 1e300}},
+		"slots below 0":       {Load: Load{Service: "deep", Slots: -74}},
+		"hold time below 0":   {Costs: []RouteCost{{Route: "table", HoldTime: -time.Hour, Runs: 1000}}},
+		"hold time too large": {Costs: []RouteCost{{Route: "table", HoldTime: math.MaxInt64, Runs: 1}}},
+		"runs below 0":        {Costs: []RouteCost{{Route: "table", HoldTime: time.Second, Runs: -99}}},
+		"no runs":             {Costs: []RouteCost{{Route: "new", HoldTime: time.Second}}},
+		"calls too large":     {Costs: []RouteCost{{Route: "order", Runs: 1, Calls: []ChildCalls{{Route: "table", PerRun: 1e300}}}}},
+	} {
+		got := testPlanner(now, 75, demand)
+		got.SetReport(now, "c", odd)
+		got.Replan(now, testSplit)
+		if a, b := ratioOf(got.Plan(), "order"), ratioOf(want.Plan(), "order"); a != b {
+			t.Errorf("%s: the admit ratio is %v, want %v", name, a, b)
+		}
+	}
+}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -30,6 +30,27 @@
 	Costs  []RouteCost `json:"rows,omitempty"`
 }
 
+// Limits on the values in a report.
+const (
+	maxRate  = 1e9 // calls per second
+	maxSlots = 1e9
+)
+
+// inRange reports whether x is between 0 and limit, and not NaN.
+func inRange(x, limit float64) bool { return x >= 0 && x <= limit }
+
+// valid returns the report without the rows that no node can have measured.
+func (r Report) valid() Report {
+	r.Costs = ValidCosts(r.Costs)
+	r.Demand = slices.DeleteFunc(slices.Clone(r.Demand), func(d Demand) bool {
+		return !(d.Rate > 0 && inRange(d.Rate, maxRate) && inRange(d.FirstTryRate, maxRate))
+	})
+	if !inRange(r.Load.Slots, maxSlots) || !inRange(r.Load.Busy, maxSlots) || !inRange(r.Load.Queued, maxSlots) {
+		r.Load = Load{}
+	}
+	return r
+}
+
 // newWindowWeight is the weight of the newest window in the reported rates. A surge shows
 // within two windows, and the noise of a few calls is halved.
 const newWindowWeight = 0.6
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -94,7 +94,7 @@
 		return UnownedGrant()
 	}
 	b.refill(now)
-	reserved := req.ReservedShare * b.size
+	reserved := min(1, max(0, req.ReservedShare)) * b.size
 	granted := max(0, min(req.Tokens, int(b.tokens-reserved)))
 	b.tokens -= float64(granted)
 	g := Grant{Tokens: granted, RemainingShare: max(0, b.tokens/b.size)}
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -216,7 +216,7 @@
 // now have a token.
 func (t *TokenPool) HandleGrant(now time.Time, req BatchRequest, g Grant, released []uint64) []uint64 {
 	p, ok := t.pools[req.Shard.Workspace]
-	if !ok || req.Shard.Count != len(p.shards) || req.Shard.Index >= len(p.shards) {
+	if !ok || req.Shard.Count != len(p.shards) || req.Shard.Index < 0 || req.Shard.Index >= len(p.shards) {
 		return released
 	}
 	v := &p.shards[req.Shard.Index]
--- a/core/state.go
+++ b/core/state.go
@@ -58,9 +58,11 @@
 	runningByRequestID map[string]*call // calls at the local target, by the sender's request ID
 	retryLimiter       *retry.ServiceLimiter
 
-	peers          member.Table
-	peerClocks     map[string]peerClock
-	storeReachable bool
+	peers member.Table
+	// rejectedMembers holds the last rejected announcement of each name.
+	rejectedMembers map[string]member.Member
+	peerClocks      map[string]peerClock
+	storeReachable  bool
 
 	manifestConfirmedAt time.Time // last time at which the active manifest was known to be the newest
 	maxStaleness        time.Duration
--- a/core/store.go
+++ b/core/store.go
@@ -91,6 +91,7 @@
 	for _, m := range e.Members {
 		s.mergeMember(now, m)
 	}
+	s.endRecall(now)
 	s.announceStart(now)
 	s.setStoredCosts(now, e.Costs)
 	clear(s.storedOwners)
--- a/core/target.go
+++ b/core/target.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"celeryshelf/core/member"
 )
 
 // Heartbeat is the status that the local target reports.
@@ -27,11 +29,49 @@
 	heartbeatReceived  bool
 	deregistered       bool
 	closedByDrain      bool // the node is draining and sends the target no more calls
+	// recalledLeaving is the start of the newest instance that an earlier process of this
+	// node has announced as leaving, in Unix milliseconds, 0 if none is known.
+	recalledLeaving int64
+	// recalled is set once the store has been read, or cannot be read in time. Until then an
+	// earlier process may have announced that the target leaves.
+	recalled bool
+}
+
+// recallTimeout is how long a starting node waits for the store before it uses its target.
+const recallTimeout = 1 * time.Second
+
+// endRecall lets the target be used, whatever the store has told of it by now.
+func (s *State) endRecall(now time.Time) {
+	if s.target.recalled {
+		return
+	}
+	s.target.recalled = true
+	if s.target.heartbeatsExpected {
+		s.updateTarget(now)
+	}
 }
 
 // available reports whether the target may be given calls.
 func (t *targetState) available() bool {
-	return !t.closedByDrain && (!t.heartbeatsExpected || t.heartbeatReceived && !t.deregistered && !t.last.Draining)
+	return !t.closedByDrain && (!t.heartbeatsExpected || t.recalled && t.heartbeatReceived && !t.leaving())
+}
+
+// leaving reports whether the last instance that was heard of has announced that it leaves,
+// or has deregistered.
+func (t *targetState) leaving() bool {
+	return t.deregistered || t.heartbeatReceived && (t.last.Draining || t.last.StartUnixMilli != 0 && t.last.StartUnixMilli <= t.recalledLeaving)
+}
+
+// recallLeavingTarget applies what an earlier process of this node has announced: an
+// instance that was leaving gets no calls from this process either, even if a heartbeat
+// that was overtaken says that it is ready.
+func (s *State) recallLeavingTarget(now time.Time, m member.Member) {
+	t := &s.target
+	if !t.heartbeatsExpected || !m.TargetLeaving || m.TargetStartMilli <= t.recalledLeaving {
+		return
+	}
+	t.recalledLeaving = m.TargetStartMilli
+	s.updateTarget(now)
 }
 
 // handleHeartbeat ignores a heartbeat that arrives after a later one or after its
@@ -66,6 +106,7 @@
 	before := s.self
 	t := &s.target
 	s.self.TargetClosed, s.self.Slots, s.self.TargetStartMilli = !t.available(), t.last.Slots, t.last.StartUnixMilli
+	s.self.TargetLeaving = t.leaving()
 	if s.self == before {
 		return
 	}
--- a/core/target_test.go
+++ b/core/target_test.go
@@ -33,6 +33,7 @@
 			s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
 			now := time.Unix(1000, 0)
 			s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+			s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 			for _, e := range tt.events {
 				now = now.Add(time.Millisecond)
 				s.Step(now, e)
@@ -54,6 +55,7 @@
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
 	now := time.Unix(1000, 0)
 	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "a", StartUnixMilli: 1, Sequence: 1, Slots: 1}})
 	run := s.Step(now, &CallArrived{Call: 1, Route: "map", Timeout: time.Second}).Verdicts
 	if len(run) != 1 || run[0].Action != ActionRun {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -288,27 +289,32 @@
 // Configure writes the next configuration version to the store as an operator does. Each
 // version adds a route of its own, by which clients find out whether it is in force.
 func (f *Fleet) Configure() {
-	f.version++
-	c := standin.Config{Version: f.version, Services: services, Routes: []standin.Route{
+	var version int
+	var keys map[string]string
+	f.history.locked(func() {
+		f.version++
+		version, keys = f.version, maps.Clone(f.keys)
+	})
+	c := standin.Config{Version: version, Services: services, Routes: []standin.Route{
 		{Name: "page", Host: hostPage, PathPrefix: "/page/", Service: "maps", Timeout: 1200 * time.Millisecond, TargetLatency: 600 * time.Millisecond, Priority: 1, Attempts: 2},
 		{Name: "order", Host: hostOrder, PathPrefix: "/order/", Service: "nursery", Unsafe: true, Timeout: 1500 * time.Millisecond, TargetLatency: 800 * time.Millisecond, Attempts: 2},
 		{Name: "stock", Host: hostStock, PathPrefix: "/stock/", Service: "stock", Public: true, Timeout: 800 * time.Millisecond, TargetLatency: 300 * time.Millisecond, Priority: 2, Attempts: 2},
 	}}
-	for v := 1; v <= f.version; v++ {
+	for v := 1; v <= version; v++ {
 		c.Routes = append(c.Routes, standin.Route{
 			Name: "mark-" + strconv.Itoa(v), Host: hostProbe, PathPrefix: probePath(v), Service: "stock", Public: true,
 			Timeout: 800 * time.Millisecond, TargetLatency: 300 * time.Millisecond, Priority: 3, Attempts: 2,
 		})
 	}
 	for _, w := range workspaces {
-		c.Tenants = append(c.Tenants, standin.Tenant{Name: w.name, Key: f.keys[w.name], Rate: w.rate, Burst: w.burst})
+		c.Tenants = append(c.Tenants, standin.Tenant{Name: w.name, Key: keys[w.name], Rate: w.rate, Burst: w.burst})
 	}
 	if _, err := f.store.PutConfig(c); err != nil {
 		f.history.locked(func() { f.history.ProcessErrors = append(f.history.ProcessErrors, err.Error()) })
 		return
 	}
 	f.history.locked(func() {
-		f.history.ConfigVersions = append(f.history.ConfigVersions, ConfigVersion{Number: f.version, At: time.Now()})
+		f.history.ConfigVersions = append(f.history.ConfigVersions, ConfigVersion{Number: version, At: time.Now()})
 	})
 }
 
@@ -325,8 +331,11 @@
 
 // RotateKey replaces the API key of a workspace and records the revocation of the old key.
 func (f *Fleet) RotateKey(name string) {
-	old := f.keys[name]
-	f.history.locked(func() { f.keys[name] = fmt.Sprintf("key-%s-%d", name, f.version) })
+	var old string
+	f.history.locked(func() {
+		old = f.keys[name]
+		f.keys[name] = fmt.Sprintf("key-%s-%d", name, f.version)
+	})
 	f.Configure()
 	f.history.locked(func() {
 		f.history.KeyRevocations = append(f.history.KeyRevocations, KeyRevocation{Key: old, Workspace: name, At: time.Now()})
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -170,7 +170,7 @@
 }
 
 func (c *ControlTransport) newConn(conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: conn}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: conn}, boundedCodec{})
 	return jsonrpc2.NewConn(c.ctx, stream, jsonrpc2.HandlerWithError(c.handle), jsonrpc2.SetLogger(discardLogger{}))
 }
 
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -106,6 +107,9 @@
 	if err := json.Unmarshal(c.Value, &m); err != nil {
 		return nil, fmt.Errorf("decode member %s: %w", name, err)
 	}
+	if m.Name != name {
+		return nil, fmt.Errorf("member %s: record is of %q", name, m.Name)
+	}
 	return &core.MemberStored{Member: m}, nil
 }
 
@@ -121,6 +125,9 @@
 	if err := json.Unmarshal(c.Value, &v); err != nil {
 		return nil, fmt.Errorf("decode shard %s: %w", rest, err)
 	}
+	if v.Owner == "" {
+		return nil, fmt.Errorf("shard %s: record has no owner", rest)
+	}
 	return &core.ShardStored{ShardRecord: core.ShardRecord{Shard: s, Owner: v.Owner}}, nil
 }
 
@@ -133,7 +140,7 @@
 	if err := json.Unmarshal(c.Value, &rows); err != nil {
 		return nil, fmt.Errorf("decode costs: %w", err)
 	}
-	return &core.CostsStored{Rows: rows}, nil
+	return &core.CostsStored{Rows: plan.ValidCosts(rows)}, nil
 }
 
 // parseShard parses the part of a shard's key after the kind: "count.index/workspace".
@@ -151,5 +158,8 @@
 	if err != nil {
 		return quota.Shard{}, fmt.Errorf("shard key %q: %w", text, err)
 	}
+	if workspace == "" || !slices.Contains(quota.ShardCounts(), n) || i < 0 || i >= n {
+		return quota.Shard{}, fmt.Errorf("shard key %q: no workspace is split so", text)
+	}
 	return quota.Shard{Workspace: workspace, Index: i, Count: n}, nil
 }
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryshelf/core"
 	"celeryshelf/core/plan"
 )
@@ -69,8 +71,9 @@
 	watched  revisionTracker
 
 	mu             sync.Mutex
-	previousClaims map[string]int64 // shard key to revision of the claim of an earlier process of this node
-	lease          int64            // 0 while no lease is held
+	rejected       map[string]uint64 // by key: hash of the last value that could not be decoded
+	previousClaims map[string]int64  // shard key to revision of the claim of an earlier process of this node
+	lease          int64             // 0 while no lease is held
 	leaseChanged   chan struct{}
 	watchEnabled   chan bool // turns the watch on node records on and off
 }
@@ -109,6 +112,25 @@
 	group.Wait()
 }
 
+// maxRejected bounds the keys whose undecodable values are remembered.
+const maxRejected = 256
+
+// warnEntry logs a value that cannot be decoded, once for each value of a key: another
+// writer may have left it in the store, where every read finds it again.
+func (s *Session) warnEntry(c Change, err error) {
+	hash := xxhash.Sum64(c.Value)
+	s.mu.Lock()
+	last, known := s.rejected[c.Key]
+	if s.rejected == nil || len(s.rejected) >= maxRejected {
+		s.rejected = map[string]uint64{}
+	}
+	s.rejected[c.Key] = hash
+	s.mu.Unlock()
+	if !known || last != hash {
+		s.Logger.Warn(fmt.Errorf("entry not used: %w", err))
+	}
+}
+
 // RevokeLease revokes the lease, which deletes the member record and the shard claims.
 func (s *Session) RevokeLease(ctx context.Context) error {
 	lease := s.currentLease()
--- a/io/store/shard_claim.go
+++ b/io/store/shard_claim.go
@@ -24,6 +24,13 @@
 	return err == nil && c.Owner == s.NodeName && c.Address.IsValid() && c.Address == s.Address
 }
 
+// isShardClaim reports whether a value is a claim. A value of another writer that is none
+// would otherwise leave the shard without an owner for ever.
+func isShardClaim(value []byte) bool {
+	var c shardClaim
+	return json.Unmarshal(value, &c) == nil && c.Owner != ""
+}
+
 // claimShard tries to claim a shard and reports whether this node holds it. It takes
 // over a claim of an earlier process of this node.
 func (s *Session) claimShard(ctx context.Context, r *core.ClaimShard) error {
@@ -46,7 +53,7 @@
 			return fmt.Errorf("read back shard claim: %w", getErr)
 		}
 		held = pair != nil && string(pair.Value) == string(value)
-		if pair != nil && !held && s.fromPreviousProcess(pair.Value) {
+		if pair != nil && !held && (s.fromPreviousProcess(pair.Value) || !isShardClaim(pair.Value)) {
 			if held, err = s.Client.CompareAndSwap(ctx, key, pair.Revision, value, lease); err != nil {
 				return fmt.Errorf("take over shard: %w", err)
 			}
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -56,9 +56,10 @@
 	out := &core.StoreSnapshot{}
 	s.recordPreviousClaims(pairs)
 	for _, p := range pairs {
-		e, err := s.Layout.decodeEvent(Change{Key: p.Key, Value: p.Value})
+		c := Change{Key: p.Key, Value: p.Value}
+		e, err := s.Layout.decodeEvent(c)
 		if err != nil {
-			s.Logger.Warn(err)
+			s.warnEntry(c, err)
 			continue
 		}
 		switch e := e.(type) {
@@ -103,7 +104,7 @@
 func (s *Session) reportManifest(c Change, at time.Time) {
 	e, err := s.Layout.decodeEvent(c)
 	if err != nil {
-		s.Logger.Warn(err)
+		s.warnEntry(c, err)
 		return
 	}
 	if m, ok := e.(*core.ManifestStored); ok {
@@ -140,7 +141,7 @@
 func (s *Session) reportChange(c Change) {
 	e, err := s.Layout.decodeEvent(c)
 	if err != nil {
-		s.Logger.Warn(err)
+		s.warnEntry(c, err)
 		return
 	}
 	if e != nil {
