io/tcp, internal/agent: a planned stop cuts off no request that has arrived

Cause: http.Server.Shutdown resets connections that the kernel has completed and the server has not accepted, closes a kept connection on which a request is being read, and waits five seconds for a connection that has sent nothing, which is most of the grace time. Change: tcp.Listener drains first: it accepts what has arrived, ends idle connections without closing under a request, and waits until requests that are being read are taken up. Servers stop at the same time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,6 +92,7 @@
 	session        *store.Session
 	relay          *relay.Relay
 	listeners      []Listener
+	open           map[string]*tcp.Listener // by name of the listener
 	sent           *metrics.Counter
 	draining       atomic.Bool
 	drainRequested chan struct{}
@@ -101,7 +102,7 @@
 // New builds a node. Its control transport works until the context is done.
 func New(ctx context.Context, c Config) *Agent {
 	a := &Agent{
-		Config: c, drainRequested: make(chan struct{}),
+		Config: c, drainRequested: make(chan struct{}), open: map[string]*tcp.Listener{},
 		sent: metrics.GetOrCreateCounter("celeryshelf_control_sent_bytes_total"),
 	}
 	c.Self.Incarnation, c.Self.Revision = uint64(time.Now().UnixNano()), 1
@@ -218,19 +219,20 @@
 
 // serve starts all servers and returns the listener for control messages.
 func (a *Agent) serve(ctx context.Context, group *sync.WaitGroup, failed chan<- error) (net.Listener, error) {
-	config := tcp.NewListenConfig()
 	for _, s := range a.listeners {
-		l, err := config.Listen(ctx, "tcp", s.Address.String())
+		l, err := tcp.Listen(ctx, s.Address)
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
 		}
+		a.open[s.Name] = l
+		s.Server.ConnState = l.ConnState
 		group.Go(func() {
-			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.Name, err)
 			}
 		})
 	}
-	l, err := config.Listen(ctx, "tcp", cmp.Or(a.ControlListenAddr, a.Self.ControlAddr).String())
+	l, err := tcp.Listen(ctx, cmp.Or(a.ControlListenAddr, a.Self.ControlAddr))
 	if err != nil {
 		return nil, fmt.Errorf("listen for control: %w", err)
 	}
@@ -276,14 +278,25 @@
 // shutdown stops the servers whose StopFirst has the given value, after the calls that
 // they serve.
 func (a *Agent) shutdown(ctx context.Context, stopFirst bool) error {
-	for _, s := range a.listeners {
-		if s.StopFirst != stopFirst {
-			continue
-		}
-		if err := s.Server.Shutdown(ctx); err != nil {
-			return fmt.Errorf("stop server for %s: %w", s.Name, err)
+	var group sync.WaitGroup
+	failures := make([]error, len(a.listeners))
+	for i, s := range a.listeners {
+		if s.StopFirst == stopFirst {
+			group.Go(func() { failures[i] = a.stopServer(ctx, s) })
 		}
 	}
+	group.Wait()
+	return errors.Join(failures...)
+}
+
+// stopServer stops one server after the calls that it serves.
+func (a *Agent) stopServer(ctx context.Context, s Listener) error {
+	if err := a.open[s.Name].Drain(ctx); err != nil {
+		return fmt.Errorf("stop server for %s: %w", s.Name, err)
+	}
+	if err := s.Server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("stop server for %s: %w", s.Name, err)
+	}
 	return nil
 }
 
--- a/io/tcp/dial.go
+++ b/io/tcp/dial.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// NewListenConfig returns a configuration whose accepted connections fail soon after
+// newListenConfig returns a configuration whose accepted connections fail soon after
 // their peer stops responding.
-func NewListenConfig() *net.ListenConfig {
+func newListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
