--- /dev/null
+++ b/core/distribution.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"time"
+
+	"celeryshelf/core/member"
+)
+
+// Nodes that do not watch the store get the manifest from peers. A node asks one of its own
+// domain, if it knows of one that has the version, so that a large manifest crosses a
+// domain's border a few times and not once for each node.
+
+const (
+	// manifestRequestInterval is the least time between two requests for the manifest: a
+	// large one takes a while to arrive.
+	manifestRequestInterval = 300 * time.Millisecond
+	// ownDomainTime is how long a node that does not watch the store waits for its own domain
+	// to have a version before it asks a node of another domain.
+	ownDomainTime = 400 * time.Millisecond
+)
+
+// distribution is the state of the requests for a newer manifest.
+type distribution struct {
+	version     uint64    // newest version heard of
+	heardAt     time.Time // when it was first heard of
+	requestedAt time.Time // when a peer was last asked for it
+}
+
+// hearOfManifest handles the news that a peer has a newer manifest than this node.
+func (s *State) hearOfManifest(now time.Time, from string, version uint64) {
+	if version <= s.manifestVersion() {
+		return
+	}
+	d := &s.distribution
+	if version > d.version {
+		d.version, d.heardAt = version, now
+	}
+	if !s.watch.electionEnabled {
+		s.send(from, &ManifestRequest{})
+		return
+	}
+	if now.Sub(d.requestedAt) < manifestRequestInterval {
+		return
+	}
+	source := s.manifestSource(now, from, version)
+	if source == "" {
+		return
+	}
+	d.requestedAt = now
+	s.send(source, &ManifestRequest{})
+}
+
+// manifestSource returns the peer to ask for a version, or "" to wait for one of the own
+// domain.
+func (s *State) manifestSource(now time.Time, from string, version uint64) string {
+	if p, ok := s.peers.Get(from); ok && p.Domain == s.self.Domain {
+		return from
+	}
+	if p := s.randomPeer(func(p *member.Peer) bool {
+		return p.Live() && p.Domain == s.self.Domain && p.ManifestVersion >= version
+	}); p != "" {
+		return p
+	}
+	if s.isWatcher() || now.Sub(s.distribution.heardAt) >= ownDomainTime {
+		return from
+	}
+	return ""
+}
+
+// spreadManifest tells peers that this node has a new manifest.
+func (s *State) spreadManifest(now time.Time) {
+	s.distribution.requestedAt = time.Time{}
+	if !s.watch.electionEnabled {
+		s.self.Revision++ // tells peers of the version; the announcement in the store is not rewritten
+		s.syncRandomPeers(now, changeFanout)
+		return
+	}
+	version := s.manifestVersion()
+	s.syncPeers(now, changeFanout, func(p *member.Peer) bool {
+		return !p.Unreachable && p.Domain == s.self.Domain && p.ManifestVersion < version
+	})
+	s.syncPeers(now, 1, func(p *member.Peer) bool {
+		return !p.Unreachable && p.Domain != s.self.Domain && p.ManifestVersion < version
+	})
+}
+
+// randomPeer returns the name of a random peer that is accepted, or "" if there is none.
+func (s *State) randomPeer(accepted func(p *member.Peer) bool) string {
+	peers := s.peers.All()
+	if len(peers) == 0 {
+		return ""
+	}
+	start := s.random.IntN(len(peers))
+	for i := range peers {
+		if p := &peers[(start+i)%len(peers)]; accepted(p) {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// syncPeers sends a Sync to up to n accepted peers, each chosen at random.
+func (s *State) syncPeers(now time.Time, n int, accepted func(p *member.Peer) bool) {
+	chosen := make([]string, 0, n)
+	for range n {
+		name := s.randomPeer(func(p *member.Peer) bool {
+			for _, c := range chosen {
+				if c == p.Name {
+					return false
+				}
+			}
+			return accepted(p)
+		})
+		if name == "" {
+			return
+		}
+		chosen = append(chosen, name)
+		s.send(name, s.syncMessage(now, freshGossipLimit, s.gossipRotation()))
+	}
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -132,6 +132,9 @@
 	Shard quota.Shard
 }
 
+// ReleaseAllShards deletes the node's records of all shards.
+type ReleaseAllShards struct{}
+
 // VerifyManifest reads the newest manifest from the store.
 type VerifyManifest struct{}
 
@@ -145,12 +148,13 @@
 	Rows []plan.RouteCost
 }
 
-func (*VerifyManifest) request() {}
-func (*AnnounceMember) request() {}
-func (*ClaimShard) request()     {}
-func (*ReleaseShard) request()   {}
-func (*SetWatch) request()       {}
-func (*SaveCosts) request()      {}
+func (*VerifyManifest) request()   {}
+func (*AnnounceMember) request()   {}
+func (*ClaimShard) request()       {}
+func (*ReleaseShard) request()     {}
+func (*ReleaseAllShards) request() {}
+func (*SetWatch) request()         {}
+func (*SaveCosts) request()        {}
 
 // NoticeKind is the kind of event that a notice reports.
 type NoticeKind uint8
--- a/core/event.go
+++ b/core/event.go
@@ -155,6 +155,11 @@
 	Costs    []plan.RouteCost // see CostsStored
 }
 
+// MembersStored reports the announcements in the store, as a starting node reads them.
+type MembersStored struct {
+	Members []member.Member
+}
+
 // CostsStored reports the call costs held by the store, as last written by the
 // planner.
 type CostsStored struct {
@@ -232,6 +237,7 @@
 func (*LeaseLost) event()          {}
 func (*StoreReachability) event()  {}
 func (*StoreSnapshot) event()      {}
+func (*MembersStored) event()      {}
 func (*ManifestStored) event()     {}
 func (*ManifestConfirmed) event()  {}
 func (*HeartbeatReceived) event()  {}
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -149,6 +149,8 @@
 	switch r := r.(type) {
 	case *ClaimShard:
 		f.claim(i, r)
+	case *ReleaseAllShards:
+		f.deleteRecordsOf(i)
 	case *ReleaseShard:
 		if rec, ok := f.records[r.Shard]; ok && rec.owner == i {
 			f.deleteRecord(r.Shard)
--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -146,8 +146,7 @@
 	s.self.ManifestVersion = v.Version
 	s.effects.NewManifest = &s.manifest.source
 	s.addNotice(Notice{Kind: NoticeManifestActive, Version: v.Version})
-	s.self.Revision++ // tells peers of the version; the announcement in the store is not rewritten
-	s.syncRandomPeers(now, changeFanout)
+	s.spreadManifest(now)
 }
 
 // applyAllowances passes the manifest's rate limits to the token pool and to the shards that
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -11,7 +11,7 @@
 	UnreachableRetention = 10 * time.Minute
 	// gossipRoundsPerChange is how many gossip messages carry a changed announcement ahead
 	// of the rotation over all peers.
-	gossipRoundsPerChange = 12
+	gossipRoundsPerChange = 8
 	// FailureThreshold is the number of failed attempts in a row after which a peer is
 	// unreachable. A failure within minFailureInterval of the last counted one is not
 	// counted: several messages to a process that is just starting fail at the same time.
@@ -33,6 +33,18 @@
 type Table struct {
 	peers        []Peer
 	gossipCursor int // index of the peer that NextGossip added last
+	version      uint64
+}
+
+// Version returns a number that changes with every announcement and with every change of a
+// peer's reachability.
+func (t *Table) Version() uint64 { return t.version }
+
+// SetManifestVersion records the version that a peer has said it has.
+func (t *Table) SetManifestVersion(name string, version uint64) {
+	if i, ok := t.find(name); ok {
+		t.peers[i].ManifestVersion = version
+	}
 }
 
 // Merge adds an announcement if it is newer than the known one of the same peer. A
@@ -40,6 +52,7 @@
 func (t *Table) Merge(now time.Time, m Member) MergeResult {
 	i, found := t.find(m.Name)
 	if !found {
+		t.version++
 		t.peers = slices.Insert(t.peers, i, Peer{Member: m, LastHeard: now, gossipRounds: gossipRoundsPerChange})
 		return Joined
 	}
@@ -47,6 +60,7 @@
 	if !m.Supersedes(p.Member) {
 		return Stale
 	}
+	t.version++
 	result := Updated
 	if m.Incarnation != p.Incarnation {
 		result = Joined
@@ -80,6 +94,9 @@
 	wasUnreachable := p.Unreachable
 	if reached {
 		p.LastHeard, p.failures, p.Unreachable = now, 0, false
+		if wasUnreachable {
+			t.version++
+		}
 		return wasUnreachable
 	}
 	if now.Sub(p.lastFailure) < minFailureInterval {
@@ -88,13 +105,18 @@
 	p.failures++
 	p.lastFailure = now
 	p.Unreachable = p.failures >= FailureThreshold
-	return p.Unreachable && !wasUnreachable
+	if p.Unreachable && !wasUnreachable {
+		t.version++
+		return true
+	}
+	return false
 }
 
 // Remove removes the peer with the given name and reports whether it was known.
 func (t *Table) Remove(name string) bool {
 	i, ok := t.find(name)
 	if ok {
+		t.version++
 		t.peers = slices.Delete(t.peers, i, i+1)
 	}
 	return ok
@@ -123,6 +145,7 @@
 // ago and returns their names.
 func (t *Table) RemoveExpired(now time.Time) []string {
 	var removed []string
+	defer func() { t.version += uint64(len(removed)) }()
 	t.peers = slices.DeleteFunc(t.peers, func(p Peer) bool {
 		expired := p.Unreachable && now.Sub(p.LastHeard) >= UnreachableRetention
 		if expired {
--- a/core/membership.go
+++ b/core/membership.go
@@ -21,8 +21,16 @@
 	// joinRotation replaces gossipRotation in the first Sync to a node that has just joined.
 	joinRotation = 64
 	// startFanout is the number of peers that a starting node sends a Sync to at once.
-	startFanout   = 32
-	sweepInterval = 1 * time.Second
+	startFanout = 32
+	// electedRotation and electedStartFanout replace gossipRotation and startFanout, and no
+	// joinRotation is sent, if Settings.ElectWatchers is set: each node then reads the members
+	// from the store when it starts, and bytes between domains are billed.
+	electedRotation    = 1
+	electedStartFanout = 8
+	// crossDomainRounds is the number of rounds of gossip in which one peer of another domain
+	// is among the partners, if Settings.ElectWatchers is set.
+	crossDomainRounds = 2
+	sweepInterval     = 1 * time.Second
 )
 
 const (
@@ -142,10 +150,31 @@
 		}
 		return
 	}
-	s.syncRandomPeers(now, syncFanout)
+	if s.watch.electionEnabled {
+		s.syncByDomain(now)
+	} else {
+		s.syncRandomPeers(now, syncFanout)
+	}
 	s.syncUnreachablePeer(now)
 }
 
+// syncByDomain sends a Sync to a peer of the own domain and, every crossDomainRounds rounds,
+// to one of another.
+func (s *State) syncByDomain(now time.Time) {
+	s.syncPeers(now, 1, func(p *member.Peer) bool { return !p.Unreachable && p.Domain == s.self.Domain })
+	if s.random.IntN(crossDomainRounds) == 0 || len(s.currentRoles().domains) == len(s.peers.All())+1 {
+		s.syncPeers(now, 1, func(p *member.Peer) bool { return !p.Unreachable && p.Domain != s.self.Domain })
+	}
+}
+
+// gossipRotation returns the number of unchanged announcements in a Sync.
+func (s *State) gossipRotation() int {
+	if s.watch.electionEnabled {
+		return electedRotation
+	}
+	return gossipRotation
+}
+
 func (s *State) seedSync(now time.Time, seed netip.AddrPort) Envelope {
 	return Envelope{Address: seed, Body: s.syncMessage(now, 0, 0)}
 }
@@ -163,7 +192,7 @@
 		if p.Unreachable {
 			continue
 		}
-		s.send(p.Name, s.syncMessage(now, freshGossipLimit, gossipRotation))
+		s.send(p.Name, s.syncMessage(now, freshGossipLimit, s.gossipRotation()))
 		n--
 	}
 }
@@ -189,6 +218,11 @@
 		return
 	}
 	s.startAnnounced = true
+	if s.watch.electionEnabled {
+		s.syncPeers(now, electedStartFanout/2, func(p *member.Peer) bool { return !p.Unreachable && p.Domain == s.self.Domain })
+		s.syncPeers(now, electedStartFanout/2, func(p *member.Peer) bool { return !p.Unreachable && p.Domain != s.self.Domain })
+		return
+	}
 	s.syncRandomPeers(now, startFanout)
 }
 
@@ -212,11 +246,11 @@
 	case *ManifestResponse:
 		s.applyManifest(now, m.Manifest)
 	case *Confirmation:
-		s.handleConfirmation(now, m)
+		s.handleConfirmation(now, e.From, m)
 	case *Report:
 		s.handleReport(now, e.From, m)
 	case *Plan:
-		s.handleConfirmation(now, &m.Confirmation)
+		s.handleConfirmation(now, e.From, &m.Confirmation)
 		s.applyPlan(now, m.AdmitRatios)
 	case *IdempotencyRecord:
 		s.handleRecord(now, e.From, m)
@@ -255,13 +289,19 @@
 func (s *State) handleSync(now time.Time, m *Sync) {
 	joined := s.mergeMember(now, m.Self)
 	s.comparePeerClock(now, m.Self.Name, m.Uptime)
+	s.peers.SetManifestVersion(m.Self.Name, m.Self.ManifestVersion)
 	s.sendConfirmation(now, m)
 	for _, o := range m.Members {
 		s.mergeMember(now, o)
 	}
+	if joined {
+		s.sendShards(m.Self)
+	}
 	switch {
 	case m.Self.ManifestVersion > s.manifestVersion():
-		s.send(m.Self.Name, &ManifestRequest{})
+		s.hearOfManifest(now, m.Self.Name, m.Self.ManifestVersion)
+	case joined && s.watch.electionEnabled:
+		s.send(m.Self.Name, s.syncMessage(now, freshGossipLimit, 0))
 	case joined:
 		s.send(m.Self.Name, s.syncMessage(now, freshGossipLimit, joinRotation))
 	case m.Self.ManifestVersion < s.manifestVersion():
@@ -396,9 +436,7 @@
 	} else {
 		s.closeTarget(now)
 	}
-	for _, shard := range s.shardOwner.Shards() {
-		s.releaseShard(shard)
-	}
+	s.releaseAllShards()
 	s.handOverRecords()
 	s.addNotice(Notice{Kind: NoticeDrainStarted})
 }
--- a/core/planning.go
+++ b/core/planning.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"celeryshelf/core/admit"
 	"celeryshelf/core/plan"
 )
@@ -17,8 +15,7 @@
 	planTTL = 1500 * time.Millisecond
 	// plannerTimeout is how long the planner may leave reports unanswered before the next
 	// candidate is used.
-	plannerTimeout    = 700 * time.Millisecond
-	plannerHashPrefix = "planner/"
+	plannerTimeout = 700 * time.Millisecond
 	// planLogInterval is the least time between two logged plans.
 	planLogInterval = 1 * time.Second
 	// minCostSaveInterval is the least time between two writes of call costs to the store:
@@ -131,32 +128,6 @@
 	s.send(name, &Report{Uptime: now.Sub(s.started), Report: r})
 }
 
-// plannerName returns the name of the node that plans for the fleet: the live one with the
-// highest hash of its name, so that all nodes with the same view of the fleet agree.
-func (s *State) plannerName(now time.Time) string {
-	best, bestHash := "", uint64(0)
-	consider := func(name string) {
-		if name == s.planning.unresponsivePlanner && now.Before(s.planning.skipPlannerUntil) {
-			return
-		}
-		if h := xxhash.Sum64String(plannerHashPrefix + name); best == "" || h > bestHash {
-			best, bestHash = name, h
-		}
-	}
-	if !s.self.Draining {
-		consider(s.self.Name)
-	}
-	for _, peer := range s.peers.All() {
-		if peer.Live() {
-			consider(peer.Name)
-		}
-	}
-	if best == "" {
-		return s.self.Name
-	}
-	return best
-}
-
 // planner returns this node's planner. A new one starts with the costs in the store.
 func (s *State) planner(now time.Time) *plan.Planner {
 	if s.planning.planner == nil {
--- a/core/state.go
+++ b/core/state.go
@@ -27,8 +27,8 @@
 	// enter the fleet, by a plan computed for the whole fleet, instead of by the load
 	// shedding levels that responses carry.
 	PlannedAdmission bool
-	// ElectWatchers limits the store watch on nodes and shards to a few nodes per domain,
-	// which pass changes on to the others.
+	// ElectWatchers limits the watch of the store to a few nodes per domain, which pass
+	// manifests and changes on to the others, and the ownership of shards to some nodes.
 	ElectWatchers bool
 	// RetryLimit bounds the retries that reach each service, summed over the whole fleet.
 	// It applies if PlannedAdmission is set.
@@ -64,6 +64,7 @@
 	peerClocks      map[string]peerClock
 	storeReachable  bool
 
+	confirmationHeardAt time.Time // when a peer last sent a Confirmation
 	manifestConfirmedAt time.Time // last time at which the active manifest was known to be the newest
 	maxStaleness        time.Duration
 	startAnnounced      bool
@@ -72,8 +73,10 @@
 	plannedAdmission    bool
 	target              targetState
 
-	planning planning
-	watch    watch
+	planning     planning
+	watch        watch
+	roles        roles
+	distribution distribution
 
 	shardOwner       *quota.Owner
 	tokenPool        *quota.TokenPool
@@ -83,7 +86,7 @@
 
 	// due holds when each periodic task runs next.
 	due struct {
-		sync, claim, sweep, verify, report time.Time
+		sync, claim, sweep, verify, freshen, report time.Time
 	}
 
 	effects       Effects
@@ -113,7 +116,7 @@
 		maxStaleness:       settings.MaxStaleness,
 		target:             targetState{heartbeatsExpected: settings.TargetHeartbeats},
 		plannedAdmission:   settings.PlannedAdmission,
-		watch:              watch{electionEnabled: settings.ElectWatchers, active: true},
+		watch:              watch{electionEnabled: settings.ElectWatchers, active: !settings.ElectWatchers},
 	}
 }
 
--- a/core/store.go
+++ b/core/store.go
@@ -35,6 +35,8 @@
 		s.setStoreReachable(now, e.Reachable)
 	case *StoreSnapshot:
 		s.applySnapshot(now, e)
+	case *MembersStored:
+		s.applyMembers(now, e)
 	case *ManifestStored:
 		s.applyManifest(now, e.Manifest)
 	case *ManifestConfirmed:
@@ -73,13 +75,11 @@
 	}
 }
 
-// handleLeaseLost gives up all shards and asks for a new announcement, as the lease that
-// covered both has expired.
+// handleLeaseLost gives up all shards, as the lease that covered their records has expired.
 func (s *State) handleLeaseLost() {
 	for _, shard := range s.shardOwner.Shards() {
 		s.dropShard(shard)
 	}
-	s.effects.StoreRequests = append(s.effects.StoreRequests, &AnnounceMember{Member: s.self})
 }
 
 // applySnapshot replaces what is known of shards by the store's full content and merges the
@@ -107,6 +107,21 @@
 	s.due.claim = now.Add(reclaimDelay)
 }
 
+// applyMembers merges the announcements that a starting node has read, and lets it use its
+// target and take part in the election of watchers.
+func (s *State) applyMembers(now time.Time, e *MembersStored) {
+	s.setStoreReachable(now, true)
+	for _, m := range e.Members {
+		s.mergeMember(now, m)
+	}
+	s.endRecall(now)
+	s.announceStart(now)
+	if s.watch.electedFrom.IsZero() {
+		s.watch.electedFrom = now.Add(electionDelay)
+		s.due.sweep = s.watch.electedFrom
+	}
+}
+
 // setShardOwner records a shard's owner and drops the shard if that is another node.
 func (s *State) setShardOwner(r ShardRecord) {
 	s.storedOwners[r.Shard] = r.Owner
@@ -125,7 +140,7 @@
 	if s.shardOwner.Holds(shard) {
 		s.dropShard(shard)
 	}
-	if s.mayClaim() && s.isDeclared(shard) {
+	if s.mayClaim() && s.currentRoles().mayOwn && s.isDeclared(shard) {
 		s.claimIfVacant(now, shard)
 	}
 }
@@ -150,9 +165,20 @@
 	s.effects.StoreRequests = append(s.effects.StoreRequests, &ReleaseShard{Shard: shard})
 }
 
+// releaseAllShards drops all shards of a node that leaves and deletes their records.
+func (s *State) releaseAllShards() {
+	held := s.shardOwner.Shards()
+	for _, shard := range held {
+		s.dropShard(shard)
+	}
+	if len(held) > 0 {
+		s.effects.StoreRequests = append(s.effects.StoreRequests, &ReleaseAllShards{})
+	}
+}
+
 // claimVacantShards claims the vacant shards whose next candidate is this node.
 func (s *State) claimVacantShards(now time.Time) {
-	if !s.mayClaim() {
+	if !s.mayClaim() || !s.currentRoles().mayOwn {
 		return
 	}
 	for i := range s.manifest.source.Manifest.Workspaces {
@@ -209,14 +235,14 @@
 	return out
 }
 
-// candidateRank returns how many live peers come before this node as candidates for a
-// shard. The shards of one workspace prefer different domains.
+// candidateRank returns how many of the nodes that may own shards come before this node as
+// candidates for a shard. The shards of one workspace prefer different domains.
 func (s *State) candidateRank(shard quota.Shard) int {
 	domain := s.preferredDomain(shard)
 	mine := s.candidateScore(s.self, shard, domain)
 	rank := 0
-	for _, p := range s.peers.All() {
-		if p.Live() && s.candidateScore(p.Member, shard, domain) > mine {
+	for _, m := range s.currentRoles().owners {
+		if m.Name != s.self.Name && s.candidateScore(m, shard, domain) > mine {
 			rank++
 		}
 	}
@@ -225,14 +251,7 @@
 
 // preferredDomain returns the domain whose nodes come first as candidates for a shard.
 func (s *State) preferredDomain(shard quota.Shard) string {
-	domains := []string{s.self.Domain}
-	for _, p := range s.peers.All() {
-		if p.Live() {
-			domains = append(domains, p.Domain)
-		}
-	}
-	slices.Sort(domains)
-	domains = slices.Compact(domains)
+	domains := s.currentRoles().domains
 	i := (xxhash.Sum64String(shard.Workspace) + uint64(shard.Index)) % uint64(len(domains))
 	return domains[i]
 }
--- a/core/watch.go
+++ b/core/watch.go
@@ -3,20 +3,14 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
 )
 
 const (
-	// watchersPerDomain is the number of nodes of a domain that watch the store's records of
-	// nodes and shards if Settings.ElectWatchers is set, for stores that charge for every
-	// watch response. It is 2 so that one of them may fail.
-	watchersPerDomain = 2
-	watcherHashPrefix = "watcher/"
-	// startupWatchPeriod is how long every node watches after its start, until it knows its
-	// peers.
-	startupWatchPeriod = 3 * time.Second
+	// electionDelay is the time after the first read of the members in which a starting node
+	// hears of those that started at the same time.
+	electionDelay = 300 * time.Millisecond
 	// shardUpdateInterval is the least time between two ShardUpdates; changes in between are
 	// sent together.
 	shardUpdateInterval = 250 * time.Millisecond
@@ -29,6 +23,7 @@
 type watch struct {
 	electionEnabled bool          // only elected nodes watch
 	active          bool          // this node watches
+	electedFrom     time.Time     // from when on the node may take up the watch, zero before it has read the members
 	acquired        []ShardRecord // by this node since the last ShardUpdate
 	vacant          []quota.Shard // removed from the store since the last ShardUpdate
 	sentAt          time.Time
@@ -39,10 +34,10 @@
 // the nodes of its domain.
 func (s *State) updateWatchRole(now time.Time) {
 	w := &s.watch
-	if !w.electionEnabled {
+	if !w.electionEnabled || w.electedFrom.IsZero() || now.Before(w.electedFrom) {
 		return
 	}
-	active := now.Sub(s.started) < startupWatchPeriod || s.watchersAhead() < watchersPerDomain
+	active := s.isWatcher()
 	if active == w.active {
 		return
 	}
@@ -50,41 +45,6 @@
 	s.effects.StoreRequests = append(s.effects.StoreRequests, &SetWatch{Enabled: active})
 }
 
-// watchersAhead returns how many live peers of the domain rank higher as watchers than this
-// node.
-func (s *State) watchersAhead() int {
-	mine, ahead := watcherRank(s.self.Name), 0
-	for _, p := range s.peers.All() {
-		if p.Live() && p.Domain == s.self.Domain && watcherRank(p.Name) > mine {
-			ahead++
-		}
-	}
-	return ahead
-}
-
-func watcherRank(name string) uint64 { return xxhash.Sum64String(watcherHashPrefix + name) }
-
-// randomWatcher returns the name of one of the peers that watch in this node's domain, or ""
-// if there is none.
-func (s *State) randomWatcher() string {
-	var best [watchersPerDomain]string
-	for _, p := range s.peers.All() {
-		if !p.Live() || p.Domain != s.self.Domain {
-			continue
-		}
-		name := p.Name
-		for i := range best {
-			if best[i] == "" || watcherRank(name) > watcherRank(best[i]) {
-				best[i], name = name, best[i]
-			}
-		}
-	}
-	if n := s.random.IntN(watchersPerDomain); best[n] != "" {
-		return best[n]
-	}
-	return best[0]
-}
-
 // sendShardUpdate sends all peers the changes in shard ownership since the last ShardUpdate.
 func (s *State) sendShardUpdate(now time.Time) {
 	w := &s.watch
@@ -132,6 +92,14 @@
 	s.send(s.randomWatcher(), &ShardQuery{Shard: shard})
 }
 
+// sendShards sends a peer of the own domain that has just started the owners of all shards.
+func (s *State) sendShards(to member.Member) {
+	if !s.watch.electionEnabled || !s.watch.active || to.Domain != s.self.Domain || len(s.storedOwners) == 0 {
+		return
+	}
+	s.send(to.Name, &ShardUpdate{Held: s.ShardOwners()})
+}
+
 // handleShardQuery answers with a shard's owner or with the fact that it is vacant.
 func (s *State) handleShardQuery(from string, m *ShardQuery) {
 	if !s.watch.active {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,7 +71,7 @@
 	Logger                            *slog.Logger
 	Store                             store.Client
 	Layout                            store.Layout
-	LeaseTTL                          time.Duration
+	LeaseTTL, MemberLeaseTTL          time.Duration // see store.Config
 	NewDialect                        func(*caller.Router) relay.Dialect
 	Tracer                            Tracer
 	TargetClient                      http1.Config
@@ -111,7 +111,7 @@
 	a.observer = newObserver(c.Logger, router)
 	a.control = node.NewControlTransport(ctx, node.ControlTransportConfig{Name: c.Self.Name, BytesSent: a})
 	a.session = store.NewSession(store.Config{
-		Client: c.Store, Layout: c.Layout, NodeName: c.Self.Name, Address: c.Self.ControlAddr, LeaseTTL: c.LeaseTTL, Logger: a.observer, Clock: boot,
+		Client: c.Store, Layout: c.Layout, NodeName: c.Self.Name, Address: c.Self.ControlAddr, LeaseTTL: c.LeaseTTL, MemberLeaseTTL: c.MemberLeaseTTL, ElectWatchers: c.ElectWatchers, Logger: a.observer, Clock: boot,
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
@@ -257,7 +257,7 @@
 	err := a.stopListeners(ctx)
 	revokeCtx, cancelRevoke := context.WithTimeout(context.Background(), leaseRevokeTimeout)
 	defer cancelRevoke()
-	if err := a.session.RevokeLease(revokeCtx); err != nil {
+	if err := a.session.RevokeLeases(revokeCtx); err != nil {
 		a.observer.Warn(err)
 	}
 	return err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -47,6 +47,10 @@
 	// sixth. It counts requests that were sent later.
 	callerGraceRatio  = 0.45
 	readHeaderTimeout = 5 * time.Second
+	// memberLeaseFactor is the ratio of the member record's time to live to that of the shard
+	// claims. Peers find out by themselves that a node does not answer, so that its record may
+	// outlive it for longer; each renewal is billed.
+	memberLeaseFactor = 2.5
 )
 
 // untraced is a tracer without spans.
@@ -81,9 +85,9 @@
 		},
 		NodeListenAddr: s.Listen.Node, ControlListenAddr: s.Listen.Control,
 		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Logger: log, Tracer: untraced{},
-		Store:         kv.NewClient(kv.Config{Address: s.Store.Address}),
-		Layout:        store.Layout{Prefix: s.Store.Prefix, ManifestKey: platform.ConfigKey, Decoder: platform.ConfigDecoder{}},
-		LeaseTTL:      s.Store.LeaseTTL.Duration,
+		Store:    kv.NewClient(kv.Config{Address: s.Store.Address}),
+		Layout:   store.Layout{Prefix: s.Store.Prefix, ManifestKey: platform.ConfigKey, Decoder: platform.ConfigDecoder{}},
+		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
 		NodeTransport: node.NewHTTP1Transport(),
 		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect},
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -25,6 +25,9 @@
 	// conditions, retries included.
 	maxCallsPerSecond = 20
 	maxCallBurst      = 40
+	// maxResponseBytes limits a response, and one message of a watch.
+	maxResponseBytes = 16 << 20
+	maxHeaderBytes   = 64 << 10
 )
 
 // Config holds the parameters of a Client.
@@ -51,6 +54,8 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 }
@@ -113,6 +118,28 @@
 	return c.txn(ctx, req)
 }
 
+// Commit makes all writes under a lease if the conditions of all of them are met, and reports
+// whether it did.
+func (c *Client) Commit(ctx context.Context, writes []store.Write, lease int64) (bool, error) {
+	var req txnRequest
+	absent := func(key string) compare {
+		var zero int64
+		return compare{Key: []byte(key), Target: targetCreate, Result: resultEqual, CreateRevision: &zero}
+	}
+	for _, w := range writes {
+		if w.Revision == 0 {
+			req.Compare = append(req.Compare, absent(w.Key))
+		} else {
+			req.Compare = append(req.Compare, compare{Key: []byte(w.Key), Target: targetMod, Result: resultEqual, ModRevision: &w.Revision})
+		}
+		for _, key := range w.Absent {
+			req.Compare = append(req.Compare, absent(key))
+		}
+		req.Success = append(req.Success, requestOp{Put: &putRequest{Key: []byte(w.Key), Value: w.Value, Lease: lease}})
+	}
+	return c.txn(ctx, req)
+}
+
 // CompareAndDelete deletes a key that holds exactly the given value and reports whether
 // it did.
 func (c *Client) CompareAndDelete(ctx context.Context, key string, value []byte) (bool, error) {
@@ -157,8 +184,10 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	dec := json.NewDecoder(res.Body)
+	body := &messageReader{Reader: res.Body}
+	dec := json.NewDecoder(body)
 	for {
+		body.remaining = maxResponseBytes
 		var out watchResponse
 		if err := dec.Decode(&out); err != nil {
 			return fmt.Errorf("read watch: %w", err)
@@ -181,10 +210,13 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return fmt.Errorf("read %s: %w", path, err)
 	}
+	if len(body) > maxResponseBytes {
+		return fmt.Errorf("response to %s has more than %d bytes", path, maxResponseBytes)
+	}
 	if out == nil {
 		return nil
 	}
@@ -235,3 +267,19 @@
 	}
 	return []byte{0}
 }
+
+// messageReader limits the bytes that are read for one message of a watch.
+type messageReader struct {
+	io.Reader
+	remaining int
+}
+
+// Read reads from the response. It fails once a message exceeds maxResponseBytes.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, fmt.Errorf("message of a watch has more than %d bytes", maxResponseBytes)
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -19,6 +19,14 @@
 	Deleted bool
 }
 
+// Write is a conditional write.
+type Write struct {
+	Key      string
+	Value    []byte
+	Revision int64    // of the last write of the key, 0 if the key must not exist
+	Absent   []string // other keys that must not exist
+}
+
 // Client is a client of the key-value service, implemented for each of its protocols.
 // A call that returns an error may have taken effect, or may take effect later.
 type Client interface {
@@ -33,12 +41,9 @@
 	Watch(ctx context.Context, prefix string, startRevision int64, batchDelay time.Duration, report func(change Change, revision int64)) error
 	// Put writes a value under a lease, or without one if lease is 0.
 	Put(ctx context.Context, key string, value []byte, lease int64) error
-	// Create writes a value if neither its key nor any of the conflicting keys
-	// exists, and reports whether it did.
-	Create(ctx context.Context, key string, conflicting []string, value []byte, lease int64) (bool, error)
-	// CompareAndSwap writes a value under a lease if the last write of the key was at
-	// the revision, and reports whether it did.
-	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease int64) (bool, error)
+	// Commit makes all writes under a lease if the conditions of all of them are met, and
+	// reports whether it did.
+	Commit(ctx context.Context, writes []Write, lease int64) (bool, error)
 	// CompareAndDelete deletes a key that holds exactly the value and reports whether it did.
 	CompareAndDelete(ctx context.Context, key string, value []byte) (bool, error)
 	// Grant creates a lease.
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -48,14 +48,18 @@
 // manifestUnderPrefix reports whether the watch on the prefix covers the manifest.
 func (l Layout) manifestUnderPrefix() bool { return strings.HasPrefix(l.ManifestKey, l.Prefix) }
 
-func (l Layout) memberKey(name string) string { return l.Prefix + "member/" + name }
+func (l Layout) memberPrefix() string { return l.Prefix + "member/" }
+
+func (l Layout) memberKey(name string) string { return l.memberPrefix() + name }
+
+func (l Layout) shardPrefix() string { return l.Prefix + "quota/" }
 
 const costsKind = "costs"
 
 func (l Layout) costsKey() string { return l.Prefix + costsKind }
 
 func (l Layout) shardKey(s quota.Shard) string {
-	return fmt.Sprintf("%squota/%d.%d/%s", l.Prefix, s.Count, s.Index, s.Workspace)
+	return fmt.Sprintf("%s%d.%d/%s", l.shardPrefix(), s.Count, s.Index, s.Workspace)
 }
 
 // shardClaim is the value stored under a shard's key.
--- /dev/null
+++ b/io/store/lease.go
@@ -0,0 +1,153 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// leaseKeeper holds a lease and renews it.
+type leaseKeeper struct {
+	client   Client
+	clock    Clock
+	ttl      time.Duration
+	interval time.Duration // between renewals
+	onHeld   func(until time.Time, fresh bool)
+	onLost   func()
+
+	mu      sync.Mutex
+	lease   int64 // 0 while none is held
+	until   time.Time
+	granted chan struct{} // signals run that acquire has got a lease
+}
+
+func newLeaseKeeper(c Config, ttl time.Duration, renewals float64) *leaseKeeper {
+	return &leaseKeeper{
+		client: c.Client, clock: c.Clock, ttl: ttl, interval: time.Duration(float64(ttl) / renewals),
+		onHeld: func(time.Time, bool) {}, onLost: func() {}, granted: make(chan struct{}, 1),
+	}
+}
+
+// acquire returns the lease that is held, or a new one.
+func (k *leaseKeeper) acquire(ctx context.Context) (int64, error) {
+	if lease := k.current(); lease != 0 {
+		return lease, nil
+	}
+	start := k.clock.Now()
+	lease, err := k.client.Grant(ctx, k.ttl)
+	if err != nil {
+		return 0, fmt.Errorf("acquire lease: %w", err)
+	}
+	k.set(lease, start.Add(k.ttl))
+	select {
+	case k.granted <- struct{}{}:
+	default:
+	}
+	return lease, nil
+}
+
+// keep renews the leases that acquire gets, until the context is done.
+func (k *leaseKeeper) keep(ctx context.Context) {
+	for {
+		select {
+		case <-k.granted:
+			k.renew(ctx)
+			if ctx.Err() != nil {
+				return
+			}
+			k.clear()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hold acquires a lease, renews it, and acquires another whenever it has expired, until the
+// context is done.
+func (k *leaseKeeper) hold(ctx context.Context) {
+	for try := 0; ctx.Err() == nil; try++ {
+		if _, err := k.acquire(ctx); err != nil {
+			if !waitBeforeRetry(ctx, try) {
+				return
+			}
+			continue
+		}
+		try = 0
+		<-k.granted
+		k.renew(ctx)
+		if ctx.Err() == nil {
+			k.clear()
+		}
+	}
+}
+
+// renew renews the lease until it has expired, has been revoked, or the context is done.
+func (k *leaseKeeper) renew(ctx context.Context) {
+	lease, until := k.state()
+	wait := k.interval
+	for try := 0; sleep(ctx, wait-rand.N(wait/8)); {
+		if k.current() != lease {
+			return
+		}
+		start := k.clock.Now()
+		ttl, err := k.client.KeepAlive(ctx, lease)
+		switch {
+		case err == nil && ttl <= 0:
+			return
+		case err == nil:
+			until, wait, try = start.Add(ttl), k.interval, 0
+			k.set(lease, until)
+		case k.clock.Now().After(until) && try > renewalsPerTTL:
+			// Whether a lease that is past its expiry still exists is known only
+			// to the store. Acquiring a new lease is simpler and as safe.
+			return
+		default:
+			try++
+			wait = min(k.interval, max(maxRetryDelay, k.interval/2))
+		}
+	}
+}
+
+// revoke revokes the lease, if one is held, and with it deletes the keys under it.
+func (k *leaseKeeper) revoke(ctx context.Context) error {
+	lease := k.current()
+	if lease == 0 {
+		return nil
+	}
+	k.clear()
+	if err := k.client.Revoke(ctx, lease); err != nil {
+		return fmt.Errorf("revoke lease: %w", err)
+	}
+	return nil
+}
+
+func (k *leaseKeeper) set(lease int64, until time.Time) {
+	k.mu.Lock()
+	fresh := k.lease != lease
+	k.lease, k.until = lease, until
+	k.mu.Unlock()
+	k.onHeld(until, fresh)
+}
+
+func (k *leaseKeeper) clear() {
+	k.mu.Lock()
+	held := k.lease != 0
+	k.lease = 0
+	k.mu.Unlock()
+	if held {
+		k.onLost()
+	}
+}
+
+func (k *leaseKeeper) current() int64 {
+	lease, _ := k.state()
+	return lease
+}
+
+func (k *leaseKeeper) state() (lease int64, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease, k.until
+}
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -16,8 +18,14 @@
 )
 
 const (
-	// renewalsPerTTL allows two consecutive renewals to fail before the lease expires.
+	// renewalsPerTTL allows two consecutive renewals to fail before the lease of the shard
+	// claims expires, and memberRenewals one before that of the member record does.
 	renewalsPerTTL = 3
+	memberRenewals = 2.2
+	// announceWait is how long a starting node waits for its own announcement to be written
+	// before it reads those of others. Of two nodes that start at the same time, one then
+	// finds the other.
+	announceWait = 1 * time.Second
 	// stableWatchDuration is how long a watch must last for its failure to reset the
 	// retry delay.
 	stableWatchDuration = 1 * time.Second
@@ -57,9 +65,14 @@
 	// carries the same node name and address therefore belongs to a process that has
 	// ended.
 	Address  netip.AddrPort
-	LeaseTTL time.Duration
-	Logger   WarningLogger
-	Clock    Clock
+	LeaseTTL time.Duration // of the shard claims
+	// MemberLeaseTTL is the time to live of the member record, 0 for LeaseTTL.
+	MemberLeaseTTL time.Duration
+	// ElectWatchers makes the session read the members once, when it starts, and watch the
+	// store only while the reducer asks for it; see core.Settings.
+	ElectWatchers bool
+	Logger        WarningLogger
+	Clock         Clock
 }
 
 // Session maintains a node's lease, executes the reducer's store requests, and
@@ -70,22 +83,41 @@
 	requests chan core.StoreRequest
 	watched  revisionTracker
 
+	member            *leaseKeeper // of the member record
+	claims            *leaseKeeper // of the shard claims
+	claimsPausedUntil time.Time
+	announced         chan struct{} // closed after the first announcement
+	announcedOnce     sync.Once
+
 	mu             sync.Mutex
 	rejected       map[string]uint64 // by key: hash of the last value that could not be decoded
 	previousClaims map[string]int64  // shard key to revision of the claim of an earlier process of this node
-	lease          int64             // 0 while no lease is held
 	leaseChanged   chan struct{}
 	watchEnabled   chan bool // turns the watch on node records on and off
 }
 
 // NewSession returns a session; Run starts it.
 func NewSession(c Config) *Session {
-	return &Session{
+	s := &Session{
 		Config:       c,
 		requests:     make(chan core.StoreRequest, requestQueueSize),
+		announced:    make(chan struct{}),
 		leaseChanged: make(chan struct{}, 1),
 		watchEnabled: make(chan bool),
 	}
+	s.member = newLeaseKeeper(c, cmp.Or(c.MemberLeaseTTL, c.LeaseTTL), memberRenewals)
+	s.claims = newLeaseKeeper(c, c.LeaseTTL, renewalsPerTTL)
+	s.member.onHeld = func(_ time.Time, fresh bool) {
+		if fresh {
+			select {
+			case s.leaseChanged <- struct{}{}:
+			default:
+			}
+		}
+	}
+	s.claims.onHeld = func(until time.Time, _ bool) { s.sink.Post(&core.LeaseHeld{Until: until}) }
+	s.claims.onLost = func() { s.sink.Post(&core.LeaseLost{}) }
+	return s
 }
 
 // SetSink sets the receiver of events. It must be called once, before Run.
@@ -103,11 +135,9 @@
 // Run runs the session until the context is done.
 func (s *Session) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { s.maintainLease(ctx) })
-	group.Go(func() { s.watchNodeRecords(ctx) })
-	if !s.Layout.manifestUnderPrefix() {
-		group.Go(func() { s.loadAndWatch(ctx, s.Layout.ManifestKey, s.loadManifest) })
-	}
+	group.Go(func() { s.member.hold(ctx) })
+	group.Go(func() { s.claims.keep(ctx) })
+	group.Go(func() { s.followStore(ctx) })
 	group.Go(func() { s.processRequests(ctx) })
 	group.Wait()
 }
@@ -131,13 +161,9 @@
 	}
 }
 
-// RevokeLease revokes the lease, which deletes the member record and the shard claims.
-func (s *Session) RevokeLease(ctx context.Context) error {
-	lease := s.currentLease()
-	if lease == 0 {
-		return nil
-	}
-	return s.Client.Revoke(ctx, lease)
+// RevokeLeases revokes the leases, which deletes the member record and the shard claims.
+func (s *Session) RevokeLeases(ctx context.Context) error {
+	return errors.Join(s.claims.revoke(ctx), s.member.revoke(ctx))
 }
 
 // waitBeforeRetry waits for the retry delay after the given number of earlier
@@ -162,81 +188,6 @@
 	}
 }
 
-// maintainLease acquires a lease and renews it, and acquires a new one whenever it
-// has expired.
-func (s *Session) maintainLease(ctx context.Context) {
-	for try := 0; ctx.Err() == nil; try++ {
-		start := s.Clock.Now()
-		lease, err := s.Client.Grant(ctx, s.LeaseTTL)
-		if err != nil {
-			if !waitBeforeRetry(ctx, try) {
-				return
-			}
-			continue
-		}
-		try = 0
-		s.setLease(lease, start.Add(s.LeaseTTL))
-		s.renewLease(ctx, lease, start.Add(s.LeaseTTL))
-		if ctx.Err() != nil {
-			return
-		}
-		s.clearLease()
-	}
-}
-
-// renewLease renews the lease until it has expired or the context is done. The
-// parameter until is the time at which the lease expires if it is not renewed.
-func (s *Session) renewLease(ctx context.Context, lease int64, until time.Time) {
-	wait := s.LeaseTTL / renewalsPerTTL
-	for try := 0; sleep(ctx, wait-rand.N(wait/8)); {
-		start := s.Clock.Now()
-		ttl, err := s.Client.KeepAlive(ctx, lease)
-		switch {
-		case err == nil && ttl <= 0:
-			return
-		case err == nil:
-			until, wait, try = start.Add(ttl), s.LeaseTTL/renewalsPerTTL, 0
-			s.setLease(lease, until)
-		case s.Clock.Now().After(until) && try > renewalsPerTTL:
-			// Whether a lease that is past its expiry still exists is known only
-			// to the store. Acquiring a new lease is simpler and as safe.
-			return
-		default:
-			try++
-			wait = min(s.LeaseTTL/renewalsPerTTL, maxRetryDelay)
-		}
-	}
-}
-
-// setLease records and reports a lease that was granted or renewed. A new lease
-// makes processRequests repeat the announcement.
-func (s *Session) setLease(lease int64, until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	fresh := s.lease != lease
-	s.lease = lease
-	s.sink.Post(&core.LeaseHeld{Until: until})
-	if fresh {
-		select {
-		case s.leaseChanged <- struct{}{}:
-		default:
-		}
-	}
-}
-
-func (s *Session) clearLease() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lease = 0
-	s.sink.Post(&core.LeaseLost{})
-}
-
-func (s *Session) currentLease() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lease
-}
-
 // processRequests executes requests one at a time, and repeats the last announcement
 // when a new lease has been granted.
 func (s *Session) processRequests(ctx context.Context) {
@@ -244,10 +195,12 @@
 	for {
 		select {
 		case r := <-s.requests:
-			if a, ok := r.(*core.AnnounceMember); ok {
-				announced = a
+			for r != nil {
+				if a, ok := r.(*core.AnnounceMember); ok {
+					announced = a
+				}
+				r = s.executeBatch(ctx, r)
 			}
-			s.execute(ctx, r)
 		case <-s.leaseChanged:
 			if announced != nil {
 				s.execute(ctx, announced)
@@ -258,15 +211,42 @@
 	}
 }
 
+// executeBatch executes a request, a claim together with those that follow it in the queue.
+// It returns the next request if it has taken one from the queue, or nil.
+func (s *Session) executeBatch(ctx context.Context, r core.StoreRequest) core.StoreRequest {
+	first, ok := r.(*core.ClaimShard)
+	if !ok {
+		s.execute(ctx, r)
+		return nil
+	}
+	batch := []*core.ClaimShard{first}
+	for {
+		select {
+		case next := <-s.requests:
+			if c, ok := next.(*core.ClaimShard); ok {
+				batch = append(batch, c)
+				continue
+			}
+			s.logFailure(ctx, s.claimShards(ctx, batch))
+			return next
+		default:
+			s.logFailure(ctx, s.claimShards(ctx, batch))
+			return nil
+		}
+	}
+}
+
 func (s *Session) execute(ctx context.Context, r core.StoreRequest) {
 	var err error
 	switch r := r.(type) {
 	case *core.AnnounceMember:
 		err = s.announce(ctx, r)
 	case *core.ClaimShard:
-		err = s.claimShard(ctx, r)
+		err = s.claimShards(ctx, []*core.ClaimShard{r})
 	case *core.ReleaseShard:
-		_, err = s.Client.CompareAndDelete(ctx, s.Layout.shardKey(r.Shard), s.claimValue(s.currentLease()))
+		_, err = s.Client.CompareAndDelete(ctx, s.Layout.shardKey(r.Shard), s.claimValue(s.claims.current()))
+	case *core.ReleaseAllShards:
+		err = s.claims.revoke(ctx)
 	case *core.VerifyManifest:
 		err = s.confirmManifest(ctx)
 	case *core.SetWatch:
@@ -277,6 +257,10 @@
 	case *core.SaveCosts:
 		err = s.saveCosts(ctx, r.Rows)
 	}
+	s.logFailure(ctx, err)
+}
+
+func (s *Session) logFailure(ctx context.Context, err error) {
 	if err != nil && ctx.Err() == nil {
 		s.Logger.Warn(err)
 	}
@@ -314,7 +298,7 @@
 }
 
 func (s *Session) announce(ctx context.Context, r *core.AnnounceMember) error {
-	lease := s.currentLease()
+	lease := s.member.current()
 	if lease == 0 {
 		return nil // processRequests repeats the announcement once a lease is held
 	}
@@ -325,5 +309,6 @@
 	if err := s.Client.Put(ctx, s.Layout.memberKey(s.NodeName), value, lease); err != nil {
 		return fmt.Errorf("announce: %w", err)
 	}
+	s.announcedOnce.Do(func() { close(s.announced) })
 	return nil
 }
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"celeryshelf/core"
 )
 
-// watchNodeRecords loads and watches the records of nodes while the watch is enabled.
-func (s *Session) watchNodeRecords(ctx context.Context) {
-	for on := true; ctx.Err() == nil; {
+// followStore reads the members and then watches the store: always, or while the reducer asks
+// for it.
+func (s *Session) followStore(ctx context.Context) {
+	if s.ElectWatchers {
+		s.discover(ctx)
+	}
+	for on := !s.ElectWatchers; ctx.Err() == nil; {
 		watchCtx, stop := context.WithCancel(ctx)
 		var group sync.WaitGroup
 		if on {
 			group.Go(func() { s.loadAndWatch(watchCtx, s.Layout.Prefix, s.loadNodeRecords) })
+			if !s.Layout.manifestUnderPrefix() {
+				group.Go(func() { s.loadAndWatch(watchCtx, s.Layout.ManifestKey, s.loadManifest) })
+			}
 		}
 		select {
 		case on = <-s.watchEnabled:
@@ -25,6 +33,48 @@
 	}
 }
 
+// discover reads the announcements of all nodes once.
+func (s *Session) discover(ctx context.Context) {
+	wait := time.NewTimer(announceWait)
+	defer wait.Stop()
+	select {
+	case <-s.announced:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	for try := 0; ctx.Err() == nil; try++ {
+		err := s.loadMembers(ctx)
+		if err == nil {
+			return
+		}
+		s.logFailure(ctx, err)
+		s.sink.Post(&core.StoreReachability{Reachable: false})
+		waitBeforeRetry(ctx, try)
+	}
+}
+
+// loadMembers reports all member records.
+func (s *Session) loadMembers(ctx context.Context) error {
+	pairs, _, err := s.Client.Range(ctx, s.Layout.memberPrefix())
+	if err != nil {
+		return fmt.Errorf("read members: %w", err)
+	}
+	out := &core.MembersStored{}
+	for _, p := range pairs {
+		c := Change{Key: p.Key, Value: p.Value}
+		e, err := s.Layout.decodeEvent(c)
+		if err != nil {
+			s.warnEntry(c, err)
+			continue
+		}
+		if m, ok := e.(*core.MemberStored); ok {
+			out.Members = append(out.Members, m.Member)
+		}
+	}
+	s.sink.Post(out)
+	return nil
+}
+
 // loadAndWatch reads all keys under a prefix and watches it from the revision that
 // was read. It starts again when the watch breaks.
 func (s *Session) loadAndWatch(ctx context.Context, prefix string, load func(context.Context) (int64, error)) {
