--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -63,7 +62,7 @@
 type Client struct {
 	Config
 	pool   pool
-	dialer *net.Dialer
+	dialer *tcp.Dialer
 }
 
 // NewClient returns a client.
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -10,10 +10,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"celeryshelf/io/tcp"
 )
 
 const (
@@ -97,22 +96,7 @@
 // reusable reports whether the connection is open and has no unread data. Unread data
 // belongs to no request.
 func (c *connection) reusable() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && tcp.Quiet(c.Conn)
 }
 
 // pool holds idle connections, the most recently used one last.
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"celeryshelf/core"
+	"celeryshelf/io/tcp"
 )
 
 const (
@@ -160,7 +161,9 @@
 	if time.Since(p.lastDialFailure) < redialDelay {
 		return fmt.Errorf("dial %s: last attempt failed less than %s ago", p.address, redialDelay)
 	}
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(c.ctx, "tcp", p.address.String())
+	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
+	defer cancel()
+	conn, err := tcp.NewDialer().DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		p.lastDialFailure = time.Now()
 		return fmt.Errorf("dial %s: %w", p.address, err)
--- /dev/null
+++ b/io/tcp/conn.go
@@ -0,0 +1,160 @@
+package tcp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"unsafe"
+)
+
+// conn is a TCP connection whose reads and writes use raw system calls. The sockets are
+// non-blocking, so that a call returns at once. An ordinary system call tells the Go
+// scheduler that it may block, which wakes the scheduler's monitor thread each time the
+// process was idle: most of the wake-ups of a node that forwards short requests.
+type conn struct {
+	*net.TCPConn
+	raw         syscall.RawConn
+	read, write transfer
+}
+
+// transfer is the state of a read or a write in progress. The functions that the runtime
+// calls until it is complete are kept, so that no call allocates.
+type transfer struct {
+	mu      sync.Mutex
+	buffer  []byte
+	done    int
+	errno   syscall.Errno
+	attempt func(fd uintptr) bool
+}
+
+// newConn wraps a connection, or returns it as it is if its descriptor cannot be used.
+func newConn(c *net.TCPConn) net.Conn {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return c
+	}
+	out := &conn{TCPConn: c, raw: raw}
+	out.read.attempt = out.read.tryRead
+	out.write.attempt = out.write.tryWrite
+	return out
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	t := &c.read
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buffer, t.done, t.errno = p, 0, 0
+	err := c.raw.Read(t.attempt)
+	t.buffer = nil
+	switch {
+	case err != nil:
+		return 0, c.wrap("read", err)
+	case t.errno != 0:
+		return 0, c.wrap("read", os.NewSyscallError("read", t.errno))
+	case t.done == 0:
+		return 0, io.EOF
+	}
+	return t.done, nil
+}
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	t := &c.write
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buffer, t.done, t.errno = p, 0, 0
+	err := c.raw.Write(t.attempt)
+	t.buffer = nil
+	switch {
+	case err != nil:
+		return t.done, c.wrap("write", err)
+	case t.errno != 0:
+		return t.done, c.wrap("write", os.NewSyscallError("write", t.errno))
+	}
+	return t.done, nil
+}
+
+// tryRead reads once and reports whether the read is complete, successfully or not.
+func (t *transfer) tryRead(fd uintptr) bool {
+	for {
+		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(unsafe.SliceData(t.buffer))), uintptr(len(t.buffer)))
+		switch errno {
+		case 0:
+			t.done = int(n)
+			return true
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return false
+		default:
+			t.errno = errno
+			return true
+		}
+	}
+}
+
+// tryWrite writes as much as the socket takes and reports whether the write is complete,
+// successfully or not.
+func (t *transfer) tryWrite(fd uintptr) bool {
+	for t.done < len(t.buffer) {
+		rest := t.buffer[t.done:]
+		n, _, errno := syscall.RawSyscall(syscall.SYS_WRITE, fd, uintptr(unsafe.Pointer(unsafe.SliceData(rest))), uintptr(len(rest)))
+		switch errno {
+		case 0:
+			t.done += int(n)
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return false
+		default:
+			t.errno = errno
+			return true
+		}
+	}
+	return true
+}
+
+// wrap returns an error in the form of those of package net.
+func (c *conn) wrap(op string, err error) error {
+	var inner *net.OpError
+	if errors.As(err, &inner) {
+		err = inner.Err
+	}
+	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// Quiet reports whether a connection is open and has no unread data.
+func Quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, errno := peek(fd)
+		quiet = errno == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// peek returns the number of bytes that can be read, at most 1, without reading them.
+func peek(fd uintptr) (int, syscall.Errno) {
+	var b [1]byte
+	n, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	return int(n), errno
+}
+
+var _ syscall.Conn = (*conn)(nil)
--- a/io/tcp/dial.go
+++ b/io/tcp/dial.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -20,16 +21,31 @@
 	keepAliveProbes   = 2
 )
 
+// Dialer connects to TCP addresses.
+type Dialer struct{ net.Dialer }
+
 // NewDialer returns a dialer whose connections fail soon after their peer stops
 // responding.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{
+func NewDialer() *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
+	}}
+}
+
+// DialContext connects to an address.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		return newConn(t), nil
 	}
+	return c, nil
 }
 
 // newListenConfig returns a configuration whose accepted connections fail soon after
--- a/io/tcp/listener.go
+++ b/io/tcp/listener.go
@@ -11,8 +11,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -56,7 +54,7 @@
 		}
 		return nil, fmt.Errorf("accept: %w", err)
 	}
-	c := &serverConn{TCPConn: raw, listener: l}
+	c := &serverConn{Conn: newConn(raw), listener: l}
 	l.conns[c] = struct{}{}
 	return c, nil
 }
@@ -122,7 +120,7 @@
 
 // serverConn is an accepted connection.
 type serverConn struct {
-	*net.TCPConn
+	net.Conn
 	listener *Listener
 	mu       sync.Mutex
 	state    http.ConnState
@@ -132,13 +130,13 @@
 
 // Read reads from the connection.
 func (c *serverConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
 		c.reading = true
 		if c.ended { // the request had arrived before
 			c.ended = false
-			_ = c.TCPConn.SetReadDeadline(time.Time{})
+			_ = c.Conn.SetReadDeadline(time.Time{})
 		}
 		c.mu.Unlock()
 	}
@@ -152,7 +150,7 @@
 	if c.ended {
 		return nil
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(t)
 }
 
 // SetDeadline sets both deadlines, the one for reading unless the connection has been ended.
@@ -168,7 +166,7 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 func (c *serverConn) setState(s http.ConnState) {
@@ -192,23 +190,24 @@
 		return false
 	}
 	c.ended = true
-	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
 
 // hasUnreadData reports whether data has arrived that has not been read.
 func (c *serverConn) hasUnreadData() bool {
-	raw, err := c.SyscallConn()
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
 	found := false
-	_ = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		found = err == nil && n > 0
+	err = raw.Control(func(fd uintptr) {
+		n, errno := peek(fd)
+		found = errno == 0 && n > 0
 	})
-	return found
+	return err == nil && found
 }
-
-var _ syscall.Conn = (*serverConn)(nil)
