--- a/core/membership.go
+++ b/core/membership.go
@@ -270,6 +270,7 @@
 	switch m := e.Body.(type) {
 	case *ShardUpdate:
 		s.handleShardUpdate(now, m)
+		s.relayShardUpdate(e.From, m)
 	case *ShardQuery:
 		s.handleShardQuery(e.From, m)
 	case *TokenBatchRequest:
--- a/core/roles.go
+++ b/core/roles.go
@@ -32,6 +32,7 @@
 	planners   []string
 	domains    []string        // with live nodes, sorted
 	watchers   []string        // live peers of the own domain that watch the store
+	remote     []string        // those of the other domains
 	ahead      int             // live peers of the own domain that rank higher as watchers
 	owners     []member.Member // the nodes that may own shards
 	mayOwn     bool            // this node is one of them
@@ -61,6 +62,11 @@
 		r.domains = append(r.domains, domain)
 		slices.SortFunc(members, func(a, b member.Member) int { return cmp.Compare(watcherRank(b.Name), watcherRank(a.Name)) })
 		r.owners = append(r.owners, members[:s.ownerCount(len(members))]...)
+		if domain != s.self.Domain {
+			for _, m := range members[:min(watchersPerDomain, len(members))] {
+				r.remote = append(r.remote, m.Name)
+			}
+		}
 	}
 	slices.Sort(r.domains)
 	r.mayOwn = slices.ContainsFunc(r.owners, func(m member.Member) bool { return m.Name == s.self.Name })
--- a/core/watch.go
+++ b/core/watch.go
@@ -54,9 +54,36 @@
 	w.sentAt = now
 	m := &ShardUpdate{Held: w.acquired, Vacant: w.vacant}
 	w.acquired, w.vacant = nil, nil
+	if !w.electionEnabled {
+		for _, p := range s.peers.All() {
+			s.send(p.Name, m)
+		}
+		return
+	}
+	s.sendToOwnDomain(m)
+	if len(m.Held) > 0 {
+		// The watchers of other domains pass it on there. Vacant shards they see themselves.
+		for _, name := range s.currentRoles().remote {
+			s.send(name, &ShardUpdate{Held: m.Held})
+		}
+	}
+}
+
+func (s *State) sendToOwnDomain(m Message) {
 	for _, p := range s.peers.All() {
-		s.send(p.Name, m)
+		if p.Domain == s.self.Domain && !p.Unreachable {
+			s.send(p.Name, m)
+		}
+	}
+}
+
+// relayShardUpdate passes owners' reports from another domain on within the own one.
+func (s *State) relayShardUpdate(from string, m *ShardUpdate) {
+	p, ok := s.peers.Get(from)
+	if !s.watch.electionEnabled || !ok || p.Domain == s.self.Domain || len(m.Held) == 0 || !s.isWatcher() {
+		return
 	}
+	s.sendToOwnDomain(&ShardUpdate{Held: m.Held})
 }
 
 // handleShardUpdate applies changes in shard ownership that a peer reports. A node that
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -21,6 +21,9 @@
 	ackTimeout    = 1 * time.Second
 	// redialDelay prevents dialling an unreachable peer again for every message.
 	redialDelay = 200 * time.Millisecond
+	// idleConnTime is how long a connection to a peer is kept without a message. A node of a
+	// large fleet sends to each of most peers once in minutes.
+	idleConnTime = 5 * time.Second
 )
 
 // Sink receives messages from peers and the reachability of peers. Post must not block
@@ -51,10 +54,11 @@
 }
 
 // peer is the send queue and the connection for one address. Only its sender uses conn
-// and lastDialFailure.
+// and lastDialFailure. The transport's mutex guards queue.
 type peer struct {
 	address         netip.AddrPort
-	queue           chan core.Envelope
+	queue           []core.Envelope
+	wake            chan struct{} // signals that queue is no longer empty
 	conn            *jsonrpc2.Conn
 	lastDialFailure time.Time
 }
@@ -73,34 +77,71 @@
 		return
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	p, ok := c.peers[e.Address]
 	if !ok {
-		p = &peer{address: e.Address, queue: make(chan core.Envelope, sendQueueSize)}
+		p = &peer{address: e.Address, wake: make(chan struct{}, 1)}
 		c.peers[e.Address] = p
 		c.senders.Go(func() { c.runSender(p) })
 	}
-	c.mu.Unlock()
+	if len(p.queue) >= sendQueueSize {
+		return
+	}
+	p.queue = append(p.queue, e)
 	select {
-	case p.queue <- e:
+	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-// runSender sends the messages in a peer's queue, in order, until the context is done.
+// runSender sends the messages in a peer's queue, in order, until the context is done or
+// there was none for idleConnTime.
 func (c *ControlTransport) runSender(p *peer) {
+	defer func() {
+		if p.conn != nil {
+			_ = p.conn.Close()
+		}
+	}()
+	idle := time.NewTimer(idleConnTime)
+	defer idle.Stop()
 	for {
 		select {
-		case e := <-p.queue:
-			c.deliver(p, e)
-		case <-c.ctx.Done():
-			if p.conn != nil {
-				_ = p.conn.Close()
+		case <-p.wake:
+			for _, e := range c.takeQueue(p) {
+				c.deliver(p, e)
 			}
+			idle.Reset(idleConnTime)
+		case <-idle.C:
+			if c.forget(p) {
+				return
+			}
+		case <-c.ctx.Done():
 			return
 		}
 	}
 }
 
+// takeQueue removes and returns the messages in a peer's queue.
+func (c *ControlTransport) takeQueue(p *peer) []core.Envelope {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	messages := p.queue
+	p.queue = nil
+	return messages
+}
+
+// forget removes a peer without messages and reports whether it did. A later message starts
+// another sender.
+func (c *ControlTransport) forget(p *peer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p.queue) > 0 {
+		return false
+	}
+	delete(c.peers, p.address)
+	return true
+}
+
 // deliver sends a message and reports the peer as reachable or unreachable. A message
 // that is only written proves nothing about the peer, so a peer is reported as
 // reachable only after it has acknowledged a Sync. Nothing is reported for a seed
