io/tcp, io/http1, internal/settings: connections share the descriptors of the process

What has been idle the longest goes first; a connection too many gets a refusal that says that nothing ran. The setting head bounds a target's response head. TestConnectionsAreLimited opens three times the limit.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,6 +54,9 @@
 	// StopFirst makes a draining node stop this server, and finish its calls, before it
 	// waits for the calls of the others.
 	StopFirst bool
+	// MaxConns and Refusal limit the open connections; see tcp.ListenerConfig.
+	MaxConns int
+	Refusal  string
 }
 
 // Config holds the dependencies and parameters of an Agent.
@@ -76,6 +79,7 @@
 	Tracer                            Tracer
 	TargetClient                      http1.Config
 	NodeTransport                     http.RoundTripper // see relay.Config; must support trailers unless PlannedAdmission is set
+	MaxNodeConns                      int               // limit on connections from other nodes, 0 for none
 	// The durations below count from the start of draining.
 	ListenerGrace time.Duration // until the servers with StopFirst stop
 	CallerGrace   time.Duration // until calls from callers are refused, 0 if they never are
@@ -126,7 +130,7 @@
 		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission,
 	})
 	a.registerGauges()
-	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{}))})
+	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{})), MaxConns: c.MaxNodeConns, Refusal: node.ConnectionRefusal()})
 	return a
 }
 
@@ -220,7 +224,7 @@
 // serve starts all servers and returns the listener for control messages.
 func (a *Agent) serve(ctx context.Context, group *sync.WaitGroup, failed chan<- error) (net.Listener, error) {
 	for _, s := range a.listeners {
-		l, err := tcp.Listen(ctx, s.Address)
+		l, err := tcp.Listen(ctx, tcp.ListenerConfig{Address: s.Address, MaxConns: s.MaxConns, Refusal: s.Refusal})
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
 		}
@@ -232,7 +236,7 @@
 			}
 		})
 	}
-	l, err := tcp.Listen(ctx, cmp.Or(a.ControlListenAddr, a.Self.ControlAddr))
+	l, err := tcp.Listen(ctx, tcp.ListenerConfig{Address: cmp.Or(a.ControlListenAddr, a.Self.ControlAddr)})
 	if err != nil {
 		return nil, fmt.Errorf("listen for control: %w", err)
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -37,10 +37,22 @@
 	// StopTimeout is the time from the request to stop until the process is killed.
 	StopTimeout manifest.Duration `json:"limit"`
 	MemoryMiB   int               `json:"memory"` // limit on the memory of the process
-	Retry       SidecarRetry      `json:"retry"`
-	Log         Log               `json:"log"`
+	// Descriptors is the limit on open files and sockets of the process.
+	Descriptors int `json:"descriptors,omitzero"`
+	// MaxHeadBytes limits the head of a response of the target, in bytes.
+	MaxHeadBytes int          `json:"head,omitzero"`
+	Retry        SidecarRetry `json:"retry"`
+	Log          Log          `json:"log"`
 }
 
+// Defaults and least values of settings that may be left out.
+const (
+	defaultDescriptors = 4096
+	minDescriptors     = 256
+	defaultHeadBytes   = 64 << 10
+	minHeadBytes       = 1 << 10
+)
+
 // SidecarListen holds the addresses that a node listens on.
 type SidecarListen struct {
 	Caller    netip.AddrPort `json:"caller"` // callers and the target
@@ -110,7 +122,7 @@
 			{Path: "/", Rule: fmt.Sprintf("document is larger than %d bytes", maxSidecarBytes)},
 		}}
 	}
-	s := Sidecar{Log: Log{Level: "info"}}
+	s := Sidecar{Log: Log{Level: "info"}, Descriptors: defaultDescriptors, MaxHeadBytes: defaultHeadBytes}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -130,6 +142,7 @@
 	Target                        netip.AddrPort
 	Store                         SidecarStore
 	MemoryMiB                     int
+	Descriptors, MaxHeadBytes     int
 }
 
 // Static returns the settings that only take effect on a restart.
@@ -137,6 +150,7 @@
 	return SidecarStatic{
 		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 		Listen: s.Listen, Advertise: s.Advertise, Target: s.Target, Store: s.Store, MemoryMiB: s.MemoryMiB,
+		Descriptors: s.Descriptors, MaxHeadBytes: s.MaxHeadBytes,
 	}
 }
 
@@ -191,6 +205,12 @@
 	if s.MemoryMiB <= 0 {
 		add("/memory", "must be greater than 0")
 	}
+	if s.Descriptors < minDescriptors {
+		add("/descriptors", "must be at least %d", minDescriptors)
+	}
+	if s.MaxHeadBytes < minHeadBytes {
+		add("/head", "must be at least %d", minHeadBytes)
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		add("/retry", "ratio and slack must not be less than 0")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -47,6 +47,10 @@
 	// sixth. It counts requests that were sent later.
 	callerGraceRatio  = 0.45
 	readHeaderTimeout = 5 * time.Second
+	// Fractions of the descriptors of the process; see descriptorShares.
+	callerDescriptorRatio = 0.35
+	nodeDescriptorRatio   = 0.25
+	idleDescriptorRatio   = 0.15
 	// memberLeaseFactor is the ratio of the member record's time to live to that of the shard
 	// claims. Peers find out by themselves that a node does not answer, so that its record may
 	// outlive it for longer; each renewal is billed.
@@ -78,6 +82,8 @@
 	defer stop()
 	nodeAddr, controlAddr := s.AdvertisedAddresses()
 	dialect := platform.Dialect{Service: s.Service}
+	share := descriptorShares(s.Descriptors)
+	idle := http1.NewIdleLimit(share.idle)
 	a := agent.New(work, agent.Config{
 		Self: member.Member{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
@@ -89,11 +95,11 @@
 		Layout:   store.Layout{Prefix: s.Store.Prefix, ManifestKey: platform.ConfigKey, Decoder: platform.ConfigDecoder{}},
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
-		NodeTransport: node.NewHTTP1Transport(),
-		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect},
+		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes,
+		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect, Idle: idle, MaxHeadBytes: s.MaxHeadBytes},
 		ListenerGrace: listenerGrace, TargetGrace: listenerGrace, CallerGrace: time.Duration(callerGraceRatio * float64(s.StopTimeout.Duration)), DrainTimeout: time.Duration(drainTimeoutRatio * float64(s.StopTimeout.Duration)),
 	})
-	a.AddListener(agent.Listener{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.CallHandler(core.FromCallerOrTarget))})
+	a.AddListener(agent.Listener{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.CallHandler(core.FromCallerOrTarget)), MaxConns: share.callers, Refusal: platform.ConnectionRefusal})
 	registry := platform.HeartbeatServer{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
 	a.AddListener(agent.Listener{Name: "heartbeats", Address: s.Listen.Heartbeat, Server: server(registry.Handler())})
 	a.AddListener(agent.Listener{Name: "prober", Address: s.Listen.Ready, Server: server(platform.ReadinessHandler(a))})
@@ -103,6 +109,21 @@
 	return a.Run(ctx)
 }
 
+// shares holds limits on connections, which keep the process below its limit on descriptors.
+type shares struct {
+	callers int // from callers and the target
+	nodes   int // from other nodes
+	idle    int // kept to the target and other nodes
+}
+
+// descriptorShares divides the descriptors of a process. What is left over serves calls in
+// progress to the target and other nodes, whose number admission control limits, control
+// connections and files.
+func descriptorShares(descriptors int) shares {
+	part := func(ratio float64) int { return int(ratio * float64(descriptors)) }
+	return shares{callers: part(callerDescriptorRatio), nodes: part(nodeDescriptorRatio), idle: part(idleDescriptorRatio)}
+}
+
 // maxStaleness returns how long API keys are accepted after the manifest was last confirmed.
 func maxStaleness(s settings.Sidecar) time.Duration {
 	return s.MaxRevocationDelay.Duration - revokeMargin
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -56,6 +56,8 @@
 	// MaxHeadBytes limits the size of a response head, with the interim responses before
 	// it, in bytes. 0 stands for DefaultMaxHeadBytes.
 	MaxHeadBytes int
+	// Idle limits the idle connections of this and other clients, nil for a limit of its own.
+	Idle *IdleLimit
 }
 
 // Client sends requests to one address. It never retries a request.
@@ -71,6 +73,10 @@
 	if c.DialTimeout > 0 {
 		client.dialer.Timeout = c.DialTimeout
 	}
+	if c.Idle == nil {
+		client.Idle = NewIdleLimit(maxIdleConns)
+	}
+	client.pool.limit = client.Idle
 	if c.MaxHeadBytes == 0 {
 		client.MaxHeadBytes = DefaultMaxHeadBytes
 	}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,7 +27,8 @@
 	// idleTimeoutFraction is the fraction of the target's keep-alive timeout after which
 	// a connection is no longer used: the target starts its timer earlier.
 	idleTimeoutFraction = 0.8
-	// maxIdleConns limits the idle connections. Admission control limits those in use.
+	// maxIdleConns limits the idle connections of a client without an IdleLimit. Admission
+	// control limits those in use.
 	maxIdleConns = 1024
 )
 
@@ -37,7 +40,9 @@
 	bytesWritten  atomic.Bool
 	writeResult   chan error // receives the result of a request that is written concurrently, nil if there is none
 	stopCancel    func() bool
-	reuseDeadline time.Time // the connection is not reused from this time on
+	reuseDeadline time.Time     // the connection is not reused from this time on
+	owner         *pool         // of an idle connection
+	position      *list.Element // of an idle connection in its IdleLimit
 }
 
 // limitedReader limits the bytes that are read while a response head is parsed.
@@ -99,10 +104,22 @@
 	return c.reader.Buffered() == 0 && tcp.Quiet(c.Conn)
 }
 
-// pool holds idle connections, the most recently used one last.
-type pool struct {
+// IdleLimit limits the idle connections of several clients together. Beyond it, the
+// connection that has been idle the longest is closed.
+type IdleLimit struct {
+	max  int
 	mu   sync.Mutex
-	idle []*connection
+	idle list.List // of *connection, the most recently used one last
+}
+
+// NewIdleLimit returns a limit of n idle connections.
+func NewIdleLimit(n int) *IdleLimit { return &IdleLimit{max: n} }
+
+// pool holds the idle connections of one client, the most recently used one last. The limit's
+// mutex guards them.
+type pool struct {
+	limit *IdleLimit
+	idle  []*connection
 }
 
 // get returns an idle connection that can be reused, or nil if there is none.
@@ -122,30 +139,43 @@
 
 // pop removes and returns the most recently used connection, or nil.
 func (p *pool) pop() *connection {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.limit.mu.Lock()
+	defer p.limit.mu.Unlock()
 	n := len(p.idle)
 	if n == 0 {
 		return nil
 	}
 	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
+	p.remove(c, n-1)
 	return c
 }
 
-// put adds an idle connection. It closes the oldest connections while they have expired
-// or the pool is full.
+// remove removes the idle connection at an index.
+func (p *pool) remove(c *connection, i int) {
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.limit.idle.Remove(c.position)
+	c.position = nil
+}
+
+// put adds an idle connection. It closes this client's oldest connections while they have
+// expired, and the oldest of all clients while there are too many.
 func (p *pool) put(now time.Time, c *connection) {
-	p.mu.Lock()
-	var expired []*connection
-	for len(p.idle) > 0 && (!now.Before(p.idle[0].reuseDeadline) || len(p.idle) >= maxIdleConns) {
-		expired = append(expired, p.idle[0])
-		p.idle = p.idle[1:]
+	l := p.limit
+	l.mu.Lock()
+	var closing []*connection
+	for len(p.idle) > 0 && !now.Before(p.idle[0].reuseDeadline) {
+		closing = append(closing, p.idle[0])
+		p.remove(p.idle[0], 0)
+	}
+	for l.idle.Len() > 0 && l.idle.Len() >= l.max {
+		oldest := l.idle.Front().Value.(*connection)
+		closing = append(closing, oldest)
+		oldest.owner.remove(oldest, slices.Index(oldest.owner.idle, oldest))
 	}
+	c.owner, c.position = p, l.idle.PushBack(c)
 	p.idle = append(p.idle, c)
-	p.mu.Unlock()
-	for _, old := range expired {
+	l.mu.Unlock()
+	for _, old := range closing {
 		_ = old.Close()
 	}
 }
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 
 	"celeryshelf/core"
@@ -19,3 +20,10 @@
 	SetTargetLoad(h, v.Inputs.Load)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// ConnectionRefusal returns the response on a connection that a node refuses because it has
+// too many: the call has not run.
+func ConnectionRefusal() string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		HeaderReason, core.ReasonOverloaded, HeaderExecuted, core.ExecutedNo)
+}
--- a/io/tcp/listener.go
+++ b/io/tcp/listener.go
@@ -1,14 +1,18 @@
 package tcp
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,10 +25,22 @@
 	settleInterval = 5 * time.Millisecond
 )
 
+// ListenerConfig holds the parameters of a Listener.
+type ListenerConfig struct {
+	Address netip.AddrPort
+	// MaxConns limits the open connections, 0 for no limit. A further connection replaces
+	// the one that has been idle the longest, or is refused.
+	MaxConns int
+	// Refusal is the HTTP response on a connection that is refused.
+	Refusal string
+}
+
 // Listener accepts connections for an http.Server and can drain them: unlike
 // http.Server.Shutdown it cuts off no connection on which a request has arrived.
 type Listener struct {
 	*net.TCPListener
+	ListenerConfig
+	refusing atomic.Int32
 	mu       sync.Mutex
 	draining bool
 	closed   bool
@@ -32,31 +48,106 @@
 }
 
 // Listen listens on an address.
-func Listen(ctx context.Context, address netip.AddrPort) (*Listener, error) {
-	l, err := newListenConfig().Listen(ctx, "tcp", address.String())
+func Listen(ctx context.Context, c ListenerConfig) (*Listener, error) {
+	l, err := newListenConfig().Listen(ctx, "tcp", c.Address.String())
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, fmt.Errorf("listen on %s: %w", c.Address, err)
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), conns: map[*serverConn]struct{}{}}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), ListenerConfig: c, conns: map[*serverConn]struct{}{}}, nil
 }
 
 // Accept returns the next connection. After Drain it returns net.ErrClosed once the
 // connections that had arrived are accepted.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.AcceptTCP()
+	for {
+		raw, err := l.AcceptTCP()
+		if err != nil {
+			return nil, l.acceptError(err)
+		}
+		if c := l.admit(raw); c != nil {
+			return c, nil
+		}
+		l.refuse(raw)
+	}
+}
+
+func (l *Listener) acceptError(err error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
-		if l.draining && errors.Is(err, os.ErrDeadlineExceeded) {
-			l.closed = true
-			_ = l.TCPListener.Close()
-			return nil, net.ErrClosed
-		}
-		return nil, fmt.Errorf("accept: %w", err)
+	if l.draining && errors.Is(err, os.ErrDeadlineExceeded) {
+		l.closed = true
+		_ = l.TCPListener.Close()
+		return net.ErrClosed
+	}
+	return fmt.Errorf("accept: %w", err)
+}
+
+// admit adds a connection, or returns nil if the limit is reached and no connection is idle.
+func (l *Listener) admit(raw *net.TCPConn) *serverConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.MaxConns > 0 && len(l.conns) >= l.MaxConns && !l.endLongestIdle() {
+		return nil
 	}
 	c := &serverConn{Conn: newConn(raw), listener: l}
 	l.conns[c] = struct{}{}
-	return c, nil
+	return c
+}
+
+// endLongestIdle ends the connection that has been idle the longest and reports whether
+// there was one.
+func (l *Listener) endLongestIdle() bool {
+	var longest *serverConn
+	var since time.Time
+	for c := range l.conns {
+		if at, idle := c.idleSince(); idle && (longest == nil || at.Before(since)) {
+			longest, since = c, at
+		}
+	}
+	if longest == nil || !longest.endIfIdle() {
+		return false
+	}
+	delete(l.conns, longest)
+	return true
+}
+
+const (
+	// maxRefusing limits the connections that are being refused; further ones are closed.
+	maxRefusing = 32
+	refuseTime  = 500 * time.Millisecond
+	// maxRefusedBytes is how much of a refused request is read before the response. Closing
+	// a connection with unread bytes would discard the response.
+	maxRefusedBytes = 64 << 10
+)
+
+// refuse answers the first request on a connection with the Refusal and closes it.
+func (l *Listener) refuse(c *net.TCPConn) {
+	if l.Refusal == "" || l.refusing.Add(1) > maxRefusing {
+		l.refusing.Add(-1)
+		_ = c.Close()
+		return
+	}
+	go func() {
+		defer func() {
+			_ = c.Close()
+			l.refusing.Add(-1)
+		}()
+		if c.SetDeadline(time.Now().Add(refuseTime)) != nil {
+			return
+		}
+		head := bufio.NewReader(io.LimitReader(c, maxRefusedBytes))
+		for line := "-"; strings.TrimSpace(line) != ""; {
+			var err error
+			if line, err = head.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		if _, err := io.WriteString(c, l.Refusal); err != nil {
+			return
+		}
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, io.LimitReader(c, maxRefusedBytes)) // until the peer closes
+	}()
 }
 
 // Close closes the listener. It may be called more than once: a server also closes the
@@ -124,8 +215,16 @@
 	listener *Listener
 	mu       sync.Mutex
 	state    http.ConnState
-	reading  bool // bytes of a request have been read since the last response
-	ended    bool // no further request is read
+	reading  bool      // bytes of a request have been read since the last response
+	ended    bool      // no further request is read
+	idleAt   time.Time // when the last response was complete
+}
+
+// idleSince returns when the connection became idle; idle is false while it is not.
+func (c *serverConn) idleSince() (at time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAt, c.state == http.StateIdle && !c.reading && !c.ended
 }
 
 // Read reads from the connection.
@@ -174,7 +273,7 @@
 	defer c.mu.Unlock()
 	c.state = s
 	if s == http.StateIdle {
-		c.reading = false
+		c.reading, c.idleAt = false, time.Now()
 	}
 }
 
--- a/io/tcp/listener_test.go
+++ b/io/tcp/listener_test.go
@@ -16,7 +16,7 @@
 )
 
 func startDrainingServer(t *testing.T, h http.HandlerFunc) (*Listener, *http.Server) {
-	l, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	l, err := Listen(t.Context(), ListenerConfig{Address: netip.MustParseAddrPort("127.0.0.1:0")})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,3 +171,56 @@
 		t.Errorf("%d requests were begun, %d answered", begun.Load(), answered.Load())
 	}
 }
+
+// TestConnectionsAreLimited guards against a process that runs out of descriptors: a further
+// connection replaces an idle one or gets a clear refusal, and the ones in use are served.
+func TestConnectionsAreLimited(t *testing.T) {
+	const limit = 8
+	release := make(chan struct{})
+	l, s := startDrainingServer(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/wait" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	l.MaxConns, l.Refusal = limit, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	serve(t, s, l)
+	open := func(path string) (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
+		return c, bufio.NewReader(c)
+	}
+	status := func(r *bufio.Reader) int {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return 0
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	for i := range 3 * limit { // all but the last stay open and idle
+		if _, r := open("/"); status(r) != http.StatusOK {
+			t.Fatalf("connection %d was not served although others are idle", i)
+		}
+		time.Sleep(2 * time.Millisecond) // let the server note that it is idle
+	}
+	var busy []*bufio.Reader
+	for range limit {
+		_, r := open("/wait")
+		busy = append(busy, r)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if _, r := open("/"); status(r) != http.StatusServiceUnavailable {
+		t.Error("a connection beyond the limit was not refused")
+	}
+	close(release)
+	for i, r := range busy {
+		if got := status(r); got != http.StatusOK {
+			t.Errorf("connection %d in use got status %d", i, got)
+		}
+	}
+}
