io/http1: idle connections hold no read buffer

A node of a large fleet keeps hundreds of idle connections, 4 KB each for the buffer. A body that is read after it was closed now gets an error, since its buffer may serve another connection (TestClosedBodyIsNotReadOn).

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -117,7 +116,7 @@
 		return nil, fmt.Errorf("%w: dial: %w", ErrNotSent, err)
 	}
 	conn := &connection{Conn: raw, source: limitedReader{Reader: raw}}
-	conn.reader = bufio.NewReader(&conn.source)
+	conn.attachReader()
 	return conn, nil
 }
 
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -257,3 +257,29 @@
 		t.Errorf("Connection: close: got idle timeout %s, want 0", got)
 	}
 }
+
+// TestClosedBodyIsNotReadOn guards against a body that is read after it was closed: its buffer
+// then serves another connection.
+func TestClosedBodyIsNotReadOn(t *testing.T) {
+	at := startServer(t, func(c net.Conn) {
+		if readHead(c) {
+			writeResponse(c, "a", "first")
+			readHead(c)
+		}
+	})
+	req, err := http.NewRequestWithContext(testContext(t), http.MethodGet, "http://target/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := NewClient(Config{Address: at}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(res.Body); err != nil || string(text) != "first" {
+		t.Errorf("got body %q, error %v", text, err)
+	}
+	_ = res.Body.Close()
+	if n, err := res.Body.Read(make([]byte, 8)); n != 0 || !errors.Is(err, http.ErrBodyReadAfterClose) {
+		t.Errorf("read %d bytes with error %v after the body was closed", n, err)
+	}
+}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -36,7 +36,7 @@
 type connection struct {
 	net.Conn
 	source        limitedReader // reads from Conn
-	reader        *bufio.Reader // reads from source
+	reader        *bufio.Reader // reads from source, nil while the connection is idle
 	bytesWritten  atomic.Bool
 	writeResult   chan error // receives the result of a request that is written concurrently, nil if there is none
 	stopCancel    func() bool
@@ -98,11 +98,25 @@
 	return n, err
 }
 
+// readers pools the read buffers of connections. Most connections are idle.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// attachReader gives the connection a read buffer for an exchange.
+func (c *connection) attachReader() {
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(&c.source)
+}
+
+// detachReader gives up the read buffer, which must be empty.
+func (c *connection) detachReader() {
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+}
+
 // reusable reports whether the connection is open and has no unread data. Unread data
 // belongs to no request.
-func (c *connection) reusable() bool {
-	return c.reader.Buffered() == 0 && tcp.Quiet(c.Conn)
-}
+func (c *connection) reusable() bool { return tcp.Quiet(c.Conn) }
 
 // IdleLimit limits the idle connections of several clients together. Beyond it, the
 // connection that has been idle the longest is closed.
@@ -131,6 +145,7 @@
 		}
 		if now.Before(c.reuseDeadline) && c.reusable() {
 			c.bytesWritten.Store(false)
+			c.attachReader()
 			return c
 		}
 		_ = c.Close()
@@ -208,6 +223,9 @@
 
 // Read reads from the body. It returns io.EOF only at the end of a complete body.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose // the buffer may belong to another connection
+	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.sawEOF = true
@@ -228,6 +246,7 @@
 		return c.Close()
 	}
 	now := time.Now()
+	c.detachReader()
 	c.reuseDeadline = now.Add(b.idleTimeout)
 	b.pool.put(now, c)
 	return nil
