--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -30,22 +30,19 @@
 	Costs  []RouteCost `json:"rows,omitempty"`
 }
 
-// Limits on the values in a report.
-const (
-	maxRate  = 1e9 // calls per second
-	maxSlots = 1e9
-)
+// maxReported limits the rates, in calls per second, and the numbers of slots in a report.
+const maxReported = 1e9
 
-// inRange reports whether x is between 0 and limit, and not NaN.
-func inRange(x, limit float64) bool { return x >= 0 && x <= limit }
+// inRange reports whether x is between 0 and maxReported, and not NaN.
+func inRange(x float64) bool { return x >= 0 && x <= maxReported }
 
 // valid returns the report without the rows that no node can have measured.
 func (r Report) valid() Report {
 	r.Costs = ValidCosts(r.Costs)
 	r.Demand = slices.DeleteFunc(slices.Clone(r.Demand), func(d Demand) bool {
-		return !(d.Rate > 0 && inRange(d.Rate, maxRate) && inRange(d.FirstTryRate, maxRate))
+		return !(d.Rate > 0 && inRange(d.Rate) && inRange(d.FirstTryRate))
 	})
-	if !inRange(r.Load.Slots, maxSlots) || !inRange(r.Load.Busy, maxSlots) || !inRange(r.Load.Queued, maxSlots) {
+	if !inRange(r.Load.Slots) || !inRange(r.Load.Busy) || !inRange(r.Load.Queued) {
 		r.Load = Load{}
 	}
 	return r
--- a/io/http1/fuzz_test.go
+++ b/io/http1/fuzz_test.go
@@ -23,7 +23,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		conn := &connection{source: limitedReader{Reader: bytes.NewReader(text)}}
 		conn.reader = bufio.NewReader(&conn.source)
-		res, err := c.readFinalResponse(conn, &http.Request{Method: http.MethodGet})
+		res, err := c.readFinalResponse(conn, &http.Request{Method: http.MethodGet}) //nolint:bodyclose // closed below
 		if err != nil {
 			if conn.source.remaining < 0 {
 				t.Errorf("read %d bytes past the limit", -conn.source.remaining)
@@ -33,6 +33,7 @@
 		if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
 			t.Errorf("returned status %d", res.StatusCode)
 		}
+		defer func() { _ = res.Body.Close() }()
 		n, err := io.Copy(io.Discard, res.Body)
 		if err == nil && res.ContentLength >= 0 && n != res.ContentLength {
 			t.Errorf("a body of %d bytes has %d without an error", res.ContentLength, n)
--- a/io/node/codec_test.go
+++ b/io/node/codec_test.go
@@ -60,7 +60,7 @@
 
 // TestDecodeFrameOfOddMessages guards against messages of another writer that end the
 // process instead of being refused.
-func TestDecodeFrameOfOddMessages(t *testing.T) {
+func TestDecodeFrameOfOddMessages(_ *testing.T) {
 	for _, body := range []string{
 		`null`, `{}`, `[]`, `{"from":"n1","body":null}`, `{"from":"n1"}`, `{"from":"n1","body":{"self":{"slots":1e999}}}`,
 		`{"from":"n1","body":{"self":{"node":"10.0.0.1:65536"}}}`, `{"from":"n1","body":{"clock":18446744073709551616}}`,
--- a/io/tcp/listener_test.go
+++ b/io/tcp/listener_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// readStatus reads a response and returns its status, 0 if there is none.
+func readStatus(r *bufio.Reader) (int, error) {
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
 func closing(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Connection", "close")
 	_, _ = io.WriteString(w, "done")
@@ -69,8 +80,8 @@
 	serve(t, s, l)
 	stop(t, l, s)
 	for i, c := range conns {
-		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusOK {
-			t.Errorf("connection %d got %v, error %v", i, res, err)
+		if got, err := readStatus(bufio.NewReader(c)); got != http.StatusOK {
+			t.Errorf("connection %d got status %d, error %v", i, got, err)
 		}
 	}
 }
@@ -91,7 +102,7 @@
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	_, _ = fmt.Fprint(c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
-	if _, err := http.ReadResponse(r, nil); err != nil {
+	if _, err := readStatus(r); err != nil {
 		t.Fatal(err)
 	}
 	_, _ = fmt.Fprint(c, "GET /last HTTP/1.1\r\n")
@@ -100,7 +111,7 @@
 	go func() { defer close(stopped); stop(t, l, s) }()
 	time.Sleep(4 * backlogTime)
 	_, _ = fmt.Fprint(c, "Host: a\r\n\r\n")
-	if _, err := http.ReadResponse(r, nil); err != nil {
+	if _, err := readStatus(r); err != nil {
 		t.Errorf("the request got %v", err)
 	}
 	<-stopped
@@ -119,7 +130,7 @@
 		defer func() { _ = c.Close() }()
 		if i%2 == 0 {
 			_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-			if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			if _, err := readStatus(bufio.NewReader(c)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -185,42 +196,33 @@
 	})
 	l.MaxConns, l.Refusal = limit, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	serve(t, s, l)
-	open := func(path string) (net.Conn, *bufio.Reader) {
+	open := func(path string) *bufio.Reader {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = c.Close() })
 		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
-		return c, bufio.NewReader(c)
-	}
-	status := func(r *bufio.Reader) int {
-		res, err := http.ReadResponse(r, nil)
-		if err != nil {
-			return 0
-		}
-		_, _ = io.Copy(io.Discard, res.Body)
-		return res.StatusCode
+		return bufio.NewReader(c)
 	}
 	for i := range 3 * limit { // all but the last stay open and idle
-		if _, r := open("/"); status(r) != http.StatusOK {
-			t.Fatalf("connection %d was not served although others are idle", i)
+		if got, err := readStatus(open("/")); got != http.StatusOK {
+			t.Fatalf("connection %d got status %d, error %v, although others are idle", i, got, err)
 		}
 		time.Sleep(2 * time.Millisecond) // let the server note that it is idle
 	}
 	var busy []*bufio.Reader
 	for range limit {
-		_, r := open("/wait")
-		busy = append(busy, r)
+		busy = append(busy, open("/wait"))
 	}
 	time.Sleep(50 * time.Millisecond)
-	if _, r := open("/"); status(r) != http.StatusServiceUnavailable {
-		t.Error("a connection beyond the limit was not refused")
+	if got, err := readStatus(open("/")); got != http.StatusServiceUnavailable {
+		t.Errorf("a connection beyond the limit got status %d, error %v", got, err)
 	}
 	close(release)
 	for i, r := range busy {
-		if got := status(r); got != http.StatusOK {
-			t.Errorf("connection %d in use got status %d", i, got)
+		if got, err := readStatus(r); got != http.StatusOK {
+			t.Errorf("connection %d in use got status %d, error %v", i, got, err)
 		}
 	}
 }
