--- a/io/tcp/listener.go
+++ b/io/tcp/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -209,15 +210,22 @@
 	return pending
 }
 
+// http2Preface is the beginning of an HTTP/2 connection.
+var http2Preface = []byte("PRI")
+
 // serverConn is an accepted connection.
 type serverConn struct {
 	net.Conn
 	listener *Listener
 	mu       sync.Mutex
 	state    http.ConnState
-	reading  bool      // bytes of a request have been read since the last response
-	ended    bool      // no further request is read
-	idleAt   time.Time // when the last response was complete
+	reading  bool // bytes of a request have been read since the last response
+	ended    bool // no further request is read
+	started  bool // bytes have been read
+	// http2 is set if the connection carries HTTP/2, on which pings and other frames arrive
+	// also when it is idle. The server ends it without cutting off a request.
+	http2  bool
+	idleAt time.Time // when the last response was complete
 }
 
 // idleSince returns when the connection became idle; idle is false while it is not.
@@ -232,6 +240,9 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
+		if !c.started {
+			c.started, c.http2 = true, bytes.HasPrefix(p[:n], http2Preface)
+		}
 		c.reading = true
 		if c.ended { // the request had arrived before
 			c.ended = false
@@ -283,7 +294,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.state == http.StateActive || c.state == http.StateHijacked || c.state == http.StateClosed || c.ended:
+	case c.http2 || c.state == http.StateActive || c.state == http.StateHijacked || c.state == http.StateClosed || c.ended:
 		return true
 	case c.reading || c.hasUnreadData():
 		return false
--- a/io/tcp/listener_test.go
+++ b/io/tcp/listener_test.go
@@ -226,3 +226,24 @@
 		}
 	}
 }
+
+// TestHTTP2ConnectionsDoNotHoldUpAStop guards against a stop that takes the pings on an idle
+// HTTP/2 connection for a request that is being read.
+func TestHTTP2ConnectionsDoNotHoldUpAStop(t *testing.T) {
+	l, s := startDrainingServer(t, func(http.ResponseWriter, *http.Request) {})
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	serve(t, s, l)
+	transport := &http.Transport{Protocols: s.Protocols, HTTP2: &http.HTTP2Config{SendPingTimeout: 20 * time.Millisecond}}
+	res, err := (&http.Client{Transport: transport}).Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	time.Sleep(100 * time.Millisecond) // pings arrive
+	start := time.Now()
+	stop(t, l, s)
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("the stop took %s", took)
+	}
+}
