core: failed connections make a peer unreachable

Cause: a node whose machine is gone stays in the store for the term of its lease. Calls tried it again after each backoff, 300 ms each, as only failed control messages counted. Change: a failed connection counts as well; a message from the node ends it. The member record's lease is 6 s instead of 10 s.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -256,6 +256,9 @@
 		c.endpoint.CallRejected(now)
 	case CauseUnreachable:
 		c.endpoint.ConnectFailed(now)
+		if !c.endpoint.Local {
+			s.setReachable(now, c.endpoint.Name, false)
+		}
 	case CauseConnectionLost:
 		c.endpoint.ConnectionLost(now)
 		s.probe(now, c.endpoint.Name)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -54,7 +54,7 @@
 	// memberLeaseFactor is the ratio of the member record's time to live to that of the shard
 	// claims. Peers find out by themselves that a node does not answer, so that its record may
 	// outlive it for longer; each renewal is billed.
-	memberLeaseFactor = 2.5
+	memberLeaseFactor = 1.5
 )
 
 // untraced is a tracer without spans.
