core: Retry-After follows the route's latency objective

Change: a quarter of the objective, spread by a random factor of 0.75 to 1.25, four times that where the cause lasts longer.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -45,8 +45,9 @@
 	c.route, c.service, c.atMostOnce = r.Name, s.pickService(r, e.Call), r.AtMostOnce
 	c.maxTargetAttempts = r.MaxAttempts
 	c.deadline = now.Add(timeout)
-	c.maxTokenWait = timeout
+	c.maxTokenWait, c.objective = timeout, timeout
 	if r.TargetLatency.Duration > 0 {
+		c.objective = r.TargetLatency.Duration
 		c.maxTokenWait = time.Duration(tokenWaitShare * float64(r.TargetLatency.Duration))
 	}
 	return r
--- a/core/call.go
+++ b/core/call.go
@@ -39,6 +39,7 @@
 	rank            admit.Rank
 	deadline        time.Time
 	maxTokenWait    time.Duration // longest time that it may wait for a token
+	objective       time.Duration // latency objective of its route, or the timeout if it has none
 	atMostOnce      bool
 	idempotencyKey  retry.IdempotencyKey // zero unless it must run at most once and has an Idempotency-Key
 	budget          retry.Budget
@@ -134,7 +135,7 @@
 func (s *State) refuse(now time.Time, c *call, reason Reason) {
 	s.emitVerdict(now, c, Verdict{
 		Action: ActionRefuse, Reason: reason, Executed: c.executed,
-		RetryAfter: retryAfter(reason), Level: s.upstreamLevel(c), UnspentRetries: c.budget.Remaining(),
+		RetryAfter: c.retryAfter(reason), Level: s.upstreamLevel(c), UnspentRetries: c.budget.Remaining(),
 	})
 	s.removeCall(now, c, false)
 }
@@ -167,16 +168,35 @@
 const tokenWaitShare = 1.0 / 4
 
 const (
-	shortRetryAfter = 1 * time.Second
-	longRetryAfter  = 5 * time.Second
+	// retryAfterShare is the share of a route's latency objective after which a refused
+	// caller may try again: late enough for tokens and slots to become free, and early enough
+	// for the second try to be answered within the objective.
+	retryAfterShare = 1.0 / 4
+	// retryAfterSpread is the range of the random factor, around 1, that keeps callers which
+	// were refused together from returning together.
+	retryAfterSpread = 0.5
+	minRetryAfter    = 30 * time.Millisecond
+	maxRetryAfter    = 1 * time.Second
+	// longRetryFactor multiplies the delay after a refusal whose cause lasts longer than a
+	// shortage of slots or tokens: a takeover of shards, or the loss of the store.
+	longRetryFactor = 4
 )
 
-func retryAfter(reason Reason) time.Duration {
+// retryAfter returns how long the caller of a refused call should wait, or 0 if another try
+// cannot succeed.
+func (c *call) retryAfter(reason Reason) time.Duration {
+	objective := c.objective
+	if objective == 0 {
+		objective = maxRetryAfter / longRetryFactor
+	}
+	random := float64(hashUint64(uint64(c.id))>>11) / (1 << 53)
+	delay := retryAfterShare * float64(objective) * (1 - retryAfterSpread/2 + retryAfterSpread*random)
+	short := min(maxRetryAfter, max(minRetryAfter, time.Duration(delay)))
 	switch reason {
 	case ReasonOverQuota, ReasonShed, ReasonOverloaded, ReasonNoEndpoint, ReasonAttemptFailed, ReasonDraining, ReasonDeadlineExceeded:
-		return shortRetryAfter
+		return short
 	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated:
-		return longRetryAfter
+		return longRetryFactor * short
 	default:
 		return 0
 	}
