--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -38,14 +38,12 @@
 func (s *State) verify(now time.Time) {
 	age := now.Sub(s.manifestConfirmedAt)
 	if s.watch.electionEnabled {
+		starting := s.manifest != nil && s.manifestStale(now)
 		age = min(age, now.Sub(s.started)) // a starting node first hears from its peers
-	}
-	if age < verifyAge {
-		return
-	}
-	if s.watch.electionEnabled && age >= freshenAge && !now.Before(s.due.freshen) {
-		s.due.freshen = now.Add(s.jitter(freshenInterval))
-		s.freshen(now)
+		if (starting || age >= freshenAge) && !now.Before(s.due.freshen) {
+			s.due.freshen = now.Add(s.jitter(freshenInterval))
+			s.freshen(now)
+		}
 	}
 	if age < s.verifyThreshold(now) || now.Before(s.due.verify) {
 		return
--- a/core/distribution.go
+++ b/core/distribution.go
@@ -36,7 +36,7 @@
 		d.version, d.heardAt = version, now
 	}
 	if !s.watch.electionEnabled {
-		s.send(from, &ManifestRequest{})
+		s.send(from, &ManifestRequest{Uptime: now.Sub(s.started)})
 		return
 	}
 	if now.Sub(d.requestedAt) < manifestRequestInterval {
@@ -47,7 +47,23 @@
 		return
 	}
 	d.requestedAt = now
-	s.send(source, &ManifestRequest{})
+	s.send(source, &ManifestRequest{Uptime: now.Sub(s.started)})
+}
+
+// pursueManifest asks a watcher, or any node, for a version that this node has heard of and
+// not got in time.
+func (s *State) pursueManifest(now time.Time) {
+	d := &s.distribution
+	if !s.watch.electionEnabled || d.version <= s.manifestVersion() ||
+		now.Sub(d.heardAt) < ownDomainTime || now.Sub(d.requestedAt) < manifestRequestInterval {
+		return
+	}
+	d.requestedAt = now
+	source := s.randomWatcher()
+	if source == "" || s.random.IntN(2) == 0 {
+		source = s.randomPeer(func(p *member.Peer) bool { return p.Live() })
+	}
+	s.send(source, &ManifestRequest{Uptime: now.Sub(s.started)})
 }
 
 // manifestSource returns the peer to ask for a version, or "" to wait for one of the own
--- a/core/membership.go
+++ b/core/membership.go
@@ -76,6 +76,7 @@
 	s.tickTokens(now)
 	s.sendShardUpdate(now)
 	s.verify(now)
+	s.pursueManifest(now)
 	if s.plannedAdmission {
 		s.reportLoad(now)
 	}
@@ -242,6 +243,8 @@
 	case *ManifestRequest:
 		if s.manifest != nil {
 			s.send(e.From, &ManifestResponse{Manifest: s.manifest.source})
+			c := s.confirmation(now, m.Uptime)
+			s.send(e.From, &c)
 		}
 	case *ManifestResponse:
 		s.applyManifest(now, m.Manifest)
--- a/core/message.go
+++ b/core/message.go
@@ -45,8 +45,10 @@
 	AdmitRatios  []plan.AdmitRatio `json:"keeps,omitempty"`
 }
 
-// ManifestRequest asks for the peer's active manifest.
-type ManifestRequest struct{}
+// ManifestRequest asks for the peer's active manifest. A Confirmation follows the answer.
+type ManifestRequest struct {
+	Uptime time.Duration `json:"clock,omitempty"` // time since the sender's process started
+}
 
 // ManifestResponse answers a ManifestRequest.
 type ManifestResponse struct {
--- a/core/store.go
+++ b/core/store.go
@@ -21,7 +21,7 @@
 	reclaimDelay = 50 * time.Millisecond
 	// claimStagger is multiplied by a node's candidate rank to get the time that it waits
 	// before it claims a vacant shard.
-	claimStagger = 1 * time.Second
+	claimStagger = 500 * time.Millisecond
 )
 
 // handleStoreEvent applies an event from the store.
@@ -105,6 +105,10 @@
 		}
 	}
 	s.due.claim = now.Add(reclaimDelay)
+	if s.watch.electionEnabled && len(e.Shards) > 0 {
+		// After a restart of the domain its nodes know of no owners, not even of themselves.
+		s.sendToOwnDomain(&ShardUpdate{Held: e.Shards})
+	}
 }
 
 // applyMembers merges the announcements that a starting node has read, and lets it use its
--- a/core/watch.go
+++ b/core/watch.go
@@ -93,8 +93,12 @@
 	for _, r := range m.Held {
 		if s.watch.active {
 			s.advertisedOwners[r.Shard] = r.Owner
-		} else {
-			s.setShardOwner(r)
+			continue
+		}
+		s.setShardOwner(r)
+		if r.Owner == s.self.Name && !s.shardOwner.Holds(r.Shard) {
+			// The record is from an earlier process of this node.
+			s.due.claim = earlier(s.due.claim, now.Add(reclaimDelay))
 		}
 	}
 	if s.watch.active {
@@ -138,3 +142,10 @@
 	}
 	s.send(from, &ShardUpdate{Vacant: []quota.Shard{m.Shard}})
 }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -36,9 +36,9 @@
 	maxRetryDelay     = 1600 * time.Millisecond
 	requestQueueSize  = 256
 	// watchBatchDelay batches changes to node and shard records where every response
-	// to a watch is billed: a starting fleet writes changes for several seconds. The
-	// delay is harmless because nodes also learn of members and shards from peers.
-	watchBatchDelay = 1 * time.Second
+	// to a watch is billed: a starting fleet writes changes for several seconds. It delays
+	// the takeover of a shard whose owner has gone.
+	watchBatchDelay = 300 * time.Millisecond
 )
 
 // Sink receives the events that the session produces. Post must not block for long.
