core: no 401 or 404 while a newer manifest is known to be missing

Change: such a refusal is isolated, 503, as long as the version is missing; a version that nobody sends is forgotten after 10 s. Test seen failing: TestNodeThatHasHeardOfANewerManifestGivesNoDefiniteRefusal.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -137,9 +137,9 @@
 }
 
 // isolatedOr returns the given reason, which follows from the manifest, or
-// ReasonIsolated if this node may have missed a newer manifest.
+// ReasonIsolated if this node may have missed a newer manifest or has heard of one.
 func (s *State) isolatedOr(now time.Time, reason Reason) Reason {
-	if s.manifestStale(now) {
+	if s.manifestStale(now) || s.distribution.version > s.manifestVersion() {
 		return ReasonIsolated
 	}
 	return reason
--- a/core/confirmation_test.go
+++ b/core/confirmation_test.go
@@ -175,3 +175,31 @@
 		}
 	}
 }
+
+// TestNodeThatHasHeardOfANewerManifestGivesNoDefiniteRefusal guards against 401 and 404 for
+// keys and routes that a newer manifest, which has not arrived yet, may contain.
+func TestNodeThatHasHeardOfANewerManifestGivesNoDefiniteRefusal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := confirmedNode(now)
+	refusal := func(call CallID) Reason {
+		return s.Step(now, &CallArrived{Call: call, Route: "added", Timeout: time.Second}).Verdicts[0].Reason
+	}
+	s.Step(now, &MemberStored{Member: testMember(1)})
+	s.Step(now, &MessageReceived{From: "n1", Body: &Confirmation{Version: 2}})
+	if got := refusal(1); got != ReasonIsolated {
+		t.Errorf("got %s, want %s while version 2 is missing", got, ReasonIsolated)
+	}
+	v := testManifest(0, 1)
+	v.Version = 2
+	s.Step(now, &MessageReceived{From: "n1", Body: &ManifestResponse{Manifest: v}})
+	if got := refusal(2); got != ReasonUnknownRoute {
+		t.Errorf("got %s with version 2, want %s", got, ReasonUnknownRoute)
+	}
+	s.Step(now, &MessageReceived{From: "n1", Body: &Confirmation{Version: 9}})
+	now = now.Add(newsTTL + time.Second)
+	s.Step(now, &ManifestConfirmed{Version: 2, At: now})
+	s.Step(now, &Tick{})
+	if got := refusal(3); got != ReasonUnknownRoute {
+		t.Errorf("got %s, want %s after nobody has sent version 9", got, ReasonUnknownRoute)
+	}
+}
--- a/core/distribution.go
+++ b/core/distribution.go
@@ -17,6 +17,8 @@
 	// ownDomainTime is how long a node that does not watch the store waits for its own domain
 	// to have a version before it asks a node of another domain.
 	ownDomainTime = 400 * time.Millisecond
+	// newsTTL is how long a version that no peer sends is believed to exist.
+	newsTTL = 10 * time.Second
 )
 
 // distribution is the state of the requests for a newer manifest.
@@ -54,6 +56,9 @@
 // not got in time.
 func (s *State) pursueManifest(now time.Time) {
 	d := &s.distribution
+	if now.Sub(d.heardAt) > newsTTL {
+		d.version = 0
+	}
 	if !s.watch.electionEnabled || d.version <= s.manifestVersion() ||
 		now.Sub(d.heardAt) < ownDomainTime || now.Sub(d.requestedAt) < manifestRequestInterval {
 		return
