core: a target that deregisters before its first heartbeat stays out

Cause by the code: a deregistration of an instance without a heartbeat was acknowledged and forgotten, and a heartbeat that it had overtaken opened the target. Change: such deregistrations are remembered; a heartbeat of that instance within 5 s counts as overtaken. Test seen failing: TestDeregistrationBeforeTheFirstHeartbeat.

--- a/core/target.go
+++ b/core/target.go
@@ -28,7 +28,10 @@
 	last               Heartbeat
 	heartbeatReceived  bool
 	deregistered       bool
-	closedByDrain      bool // the node is draining and sends the target no more calls
+	// earlyDeregistrations holds the instances that deregistered before a heartbeat of theirs
+	// had arrived, with the time of the deregistration.
+	earlyDeregistrations map[string]time.Time
+	closedByDrain        bool // the node is draining and sends the target no more calls
 	// recalledLeaving is the start of the newest instance that an earlier process of this
 	// node has announced as leaving, in Unix milliseconds, 0 if none is known.
 	recalledLeaving int64
@@ -87,13 +90,31 @@
 	if t.heartbeatReceived && h.StartUnixMilli == t.last.StartUnixMilli && t.last.Draining {
 		h.Draining = true // a draining instance never becomes available again
 	}
-	t.last, t.heartbeatReceived, t.deregistered = h, true, false
+	t.last, t.heartbeatReceived = h, true
+	at, early := t.earlyDeregistrations[h.InstanceID]
+	t.deregistered = early && now.Sub(at) < lateHeartbeatTime
 	s.updateTarget(now)
 }
 
+const (
+	// lateHeartbeatTime is how long after an instance's deregistration a heartbeat counts as
+	// one that was overtaken. The instance still serves for a while, so that another with
+	// the same ID cannot have started.
+	lateHeartbeatTime = 5 * time.Second
+	// maxEarlyDeregistrations bounds the deregistrations that are remembered.
+	maxEarlyDeregistrations = 16
+)
+
 func (s *State) handleTargetDeregistered(now time.Time, id string) {
 	t := &s.target
-	if !t.heartbeatReceived || t.last.InstanceID != id || t.deregistered {
+	if !t.heartbeatReceived || t.last.InstanceID != id {
+		if t.earlyDeregistrations == nil || len(t.earlyDeregistrations) >= maxEarlyDeregistrations {
+			t.earlyDeregistrations = map[string]time.Time{}
+		}
+		t.earlyDeregistrations[id] = now
+		return
+	}
+	if t.deregistered {
 		return
 	}
 	t.deregistered = true
--- a/core/target_test.go
+++ b/core/target_test.go
@@ -69,3 +69,31 @@
 		t.Errorf("the queued call got %+v, want a refusal with ran=no", got)
 	}
 }
+
+// TestDeregistrationBeforeTheFirstHeartbeat guards against a target that deregisters with a
+// node which has just restarted, and gets calls after a heartbeat that was overtaken arrives.
+func TestDeregistrationBeforeTheFirstHeartbeat(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name      string
+		after     time.Duration // from the deregistration to the heartbeat
+		id        string
+		start     int64
+		available bool
+	}{
+		{"overtaken heartbeat", time.Second, "a", 1, false},
+		{"heartbeat of another instance", time.Second, "b", 2, true},
+		{"later instance with the same ID", lateHeartbeatTime, "a", 9, true},
+	} {
+		s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
+		s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+		s.Step(now, &StoreSnapshot{})
+		s.Step(now, &TargetDeregistered{InstanceID: "a"})
+		at := now.Add(tt.after)
+		s.Step(at, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: tt.id, StartUnixMilli: tt.start, Sequence: 3, Slots: 10}})
+		got := s.Step(at, &CallArrived{Call: 1, Route: "map", Timeout: time.Second}).Verdicts
+		if ran := got[0].Action == ActionRun; ran != tt.available {
+			t.Errorf("%s: the call got %s, reason %s; want run: %v", tt.name, got[0].Action, got[0].Reason, tt.available)
+		}
+	}
+}
