core: a restarted node takes up the watch and asks for the manifest at once

A watcher waited 300 ms before it read the configuration, the others for gossip. Change: only a node that finds nobody of its domain waits; a node without a manifest asks a watcher every 150 ms.

--- a/core/distribution.go
+++ b/core/distribution.go
@@ -17,6 +17,8 @@
 	// ownDomainTime is how long a node that does not watch the store waits for its own domain
 	// to have a version before it asks a node of another domain.
 	ownDomainTime = 400 * time.Millisecond
+	// startRequestInterval is the time between the requests of a node without a manifest.
+	startRequestInterval = 150 * time.Millisecond
 	// newsTTL is how long a version that no peer sends is believed to exist.
 	newsTTL = 10 * time.Second
 )
@@ -59,6 +61,11 @@
 	if now.Sub(d.heardAt) > newsTTL {
 		d.version = 0
 	}
+	if s.manifest == nil && s.watch.electionEnabled && now.Sub(d.requestedAt) >= startRequestInterval {
+		d.requestedAt = now
+		s.send(s.randomWatcher(), &ManifestRequest{Uptime: now.Sub(s.started)})
+		return
+	}
 	if !s.watch.electionEnabled || d.version <= s.manifestVersion() ||
 		now.Sub(d.heardAt) < ownDomainTime || now.Sub(d.requestedAt) < manifestRequestInterval {
 		return
--- a/core/store.go
+++ b/core/store.go
@@ -120,10 +120,14 @@
 	}
 	s.endRecall(now)
 	s.announceStart(now)
-	if s.watch.electedFrom.IsZero() {
-		s.watch.electedFrom = now.Add(electionDelay)
-		s.due.sweep = s.watch.electedFrom
+	if !s.watch.electedFrom.IsZero() {
+		return
+	}
+	s.watch.electedFrom = now
+	if len(s.currentRoles().watchers) == 0 {
+		s.watch.electedFrom = now.Add(electionDelay) // the first of its domain: others are starting
 	}
+	s.due.sweep = s.watch.electedFrom
 }
 
 // setShardOwner records a shard's owner and drops the shard if that is another node.
--- a/core/watch.go
+++ b/core/watch.go
@@ -9,7 +9,7 @@
 
 const (
 	// electionDelay is the time after the first read of the members in which a starting node
-	// hears of those that started at the same time.
+	// that has found none of its domain hears of those that started at the same time.
 	electionDelay = 300 * time.Millisecond
 	// shardUpdateInterval is the least time between two ShardUpdates; changes in between are
 	// sent together.
