io/store: no claim is reported as held after its lease is lost

Cause: the session used to report claims and the loss of the lease under one lock; leaseKeeper checked the lease, let go of the lock and then reported, so that a loss could come between. Change: leaseKeeper reports under its lock, and whileHeld reports a claim under it. renew reads the expiry from the keeper instead of a copy of its own.

--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -14,13 +14,15 @@
 	clock    Clock
 	ttl      time.Duration
 	interval time.Duration // between renewals
-	onHeld   func(until time.Time, fresh bool)
-	onLost   func()
+	// onHeld and onLost are called with the lock held, so that what they report is in order
+	// with what whileHeld does.
+	onHeld func(until time.Time, fresh bool)
+	onLost func()
 
 	mu      sync.Mutex
 	lease   int64 // 0 while none is held
 	until   time.Time
-	granted chan struct{} // signals run that acquire has got a lease
+	granted chan struct{} // signals keep or hold that acquire has got a lease
 }
 
 func newLeaseKeeper(c Config, ttl time.Duration, renewals float64) *leaseKeeper {
@@ -85,10 +87,11 @@
 
 // renew renews the lease until it has expired, has been revoked, or the context is done.
 func (k *leaseKeeper) renew(ctx context.Context) {
-	lease, until := k.state()
+	lease := k.current()
 	wait := k.interval
 	for try := 0; sleep(ctx, wait-rand.N(wait/8)); {
-		if k.current() != lease {
+		held, until := k.state()
+		if held != lease {
 			return
 		}
 		start := k.clock.Now()
@@ -97,8 +100,8 @@
 		case err == nil && ttl <= 0:
 			return
 		case err == nil:
-			until, wait, try = start.Add(ttl), k.interval, 0
-			k.set(lease, until)
+			wait, try = k.interval, 0
+			k.set(lease, start.Add(ttl))
 		case k.clock.Now().After(until) && try > renewalsPerTTL:
 			// Whether a lease that is past its expiry still exists is known only
 			// to the store. Acquiring a new lease is simpler and as safe.
@@ -125,22 +128,30 @@
 
 func (k *leaseKeeper) set(lease int64, until time.Time) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	fresh := k.lease != lease
 	k.lease, k.until = lease, until
-	k.mu.Unlock()
 	k.onHeld(until, fresh)
 }
 
 func (k *leaseKeeper) clear() {
 	k.mu.Lock()
-	held := k.lease != 0
-	k.lease = 0
-	k.mu.Unlock()
-	if held {
+	defer k.mu.Unlock()
+	if k.lease != 0 {
+		k.lease = 0
 		k.onLost()
 	}
 }
 
+// whileHeld calls report if the lease is still held. The lease is not lost meanwhile.
+func (k *leaseKeeper) whileHeld(lease int64, report func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease == lease {
+		report()
+	}
+}
+
 func (k *leaseKeeper) current() int64 {
 	lease, _ := k.state()
 	return lease
--- a/io/store/shard_claim.go
+++ b/io/store/shard_claim.go
@@ -157,12 +157,16 @@
 // reportClaims reports the outcome of claims. Claims under a lease that has expired since are
 // not reported as held.
 func (s *Session) reportClaims(lease int64, claims []*core.ClaimShard, held bool) {
-	if held && s.claims.current() != lease {
-		return
+	report := func() {
+		for _, c := range claims {
+			s.sink.Post(&core.ClaimDone{Shard: c.Shard, Held: held})
+		}
 	}
-	for _, c := range claims {
-		s.sink.Post(&core.ClaimDone{Shard: c.Shard, Held: held})
+	if held {
+		s.claims.whileHeld(lease, report)
+		return
 	}
+	report()
 }
 
 // recordPreviousClaims records the revisions of the claims of an earlier process of
