core, io, platform: one piece of code for what the change wrote twice

What now serves both places: - randomPeer for randomReachablePeer and the loop of syncUnreachablePeer; inDomain and outsideDomain for six copies of a condition; sendConfirmation for both answers; requestManifest for four sends; randomFraction for two draws from a call's ID. - etcd: CompareAndSwap is a Commit of one write; Create, used by nothing else, is gone. - io/store: decode, which logs, for four decoding places; the case of execute that no claim reached is gone; the value of a claim is encoded once for a batch. - io/tcp: run for Read and Write. platform: member.MaxSlots. settings: http1's default head. - Tests: checkAllocation, checkConfirmed; the assertions are the same. Left apart: tcp.Quiet and hasUnreadData, since a raw read waits for a reader in progress and a raw control does not.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -64,7 +64,7 @@
 	for _, p := range services {
 		total += p.Weight
 	}
-	draw := float64(hashUint64(uint64(id))>>11) / (1 << 53) * total
+	draw := randomFraction(id) * total
 	for _, p := range services {
 		if draw -= p.Weight; draw < 0 {
 			return p.Service
--- a/core/call.go
+++ b/core/call.go
@@ -189,7 +189,7 @@
 	if objective == 0 {
 		objective = maxRetryAfter / longRetryFactor
 	}
-	random := float64(hashUint64(uint64(c.id))>>11) / (1 << 53)
+	random := randomFraction(c.id)
 	delay := retryAfterShare * float64(objective) * (1 - retryAfterSpread/2 + retryAfterSpread*random)
 	short := min(maxRetryAfter, max(minRetryAfter, time.Duration(delay)))
 	switch reason {
--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -74,7 +74,7 @@
 func (s *State) freshen(now time.Time) {
 	to := s.randomWatcher()
 	if s.plannerName(now) == s.self.Name {
-		to = s.randomPeer(func(p *member.Peer) bool { return p.Live() })
+		to = s.randomPeer((*member.Peer).Live)
 	}
 	s.send(to, s.syncMessage(now, 0, 0))
 }
@@ -87,10 +87,10 @@
 	}
 }
 
-// sendConfirmation answers a Sync.
-func (s *State) sendConfirmation(now time.Time, m *Sync) {
-	c := s.confirmation(now, m.Uptime)
-	s.send(m.Self.Name, &c)
+// sendConfirmation answers a message that a peer sent at the given uptime of its own.
+func (s *State) sendConfirmation(now time.Time, to string, requesterUptime time.Duration) {
+	c := s.confirmation(now, requesterUptime)
+	s.send(to, &c)
 }
 
 // confirmation returns the answer to a message that a peer sent at the given uptime of its
--- a/core/distribution.go
+++ b/core/distribution.go
@@ -40,18 +40,20 @@
 		d.version, d.heardAt = version, now
 	}
 	if !s.watch.electionEnabled {
-		s.send(from, &ManifestRequest{Uptime: now.Sub(s.started)})
+		s.requestManifest(now, from)
 		return
 	}
 	if now.Sub(d.requestedAt) < manifestRequestInterval {
 		return
 	}
-	source := s.manifestSource(now, from, version)
-	if source == "" {
-		return
+	if source := s.manifestSource(now, from, version); source != "" {
+		s.requestManifest(now, source)
 	}
-	d.requestedAt = now
-	s.send(source, &ManifestRequest{Uptime: now.Sub(s.started)})
+}
+
+func (s *State) requestManifest(now time.Time, from string) {
+	s.distribution.requestedAt = now
+	s.send(from, &ManifestRequest{Uptime: now.Sub(s.started)})
 }
 
 // pursueManifest asks a watcher, or any node, for a version that this node has heard of and
@@ -62,20 +64,18 @@
 		d.version = 0
 	}
 	if s.manifest == nil && s.watch.electionEnabled && now.Sub(d.requestedAt) >= startRequestInterval {
-		d.requestedAt = now
-		s.send(s.randomWatcher(), &ManifestRequest{Uptime: now.Sub(s.started)})
+		s.requestManifest(now, s.randomWatcher())
 		return
 	}
 	if !s.watch.electionEnabled || d.version <= s.manifestVersion() ||
 		now.Sub(d.heardAt) < ownDomainTime || now.Sub(d.requestedAt) < manifestRequestInterval {
 		return
 	}
-	d.requestedAt = now
 	source := s.randomWatcher()
 	if source == "" || s.random.IntN(2) == 0 {
-		source = s.randomPeer(func(p *member.Peer) bool { return p.Live() })
+		source = s.randomPeer((*member.Peer).Live)
 	}
-	s.send(source, &ManifestRequest{Uptime: now.Sub(s.started)})
+	s.requestManifest(now, source)
 }
 
 // manifestSource returns the peer to ask for a version, or "" to wait for one of the own
@@ -104,45 +104,6 @@
 		return
 	}
 	version := s.manifestVersion()
-	s.syncPeers(now, changeFanout, func(p *member.Peer) bool {
-		return !p.Unreachable && p.Domain == s.self.Domain && p.ManifestVersion < version
-	})
-	s.syncPeers(now, 1, func(p *member.Peer) bool {
-		return !p.Unreachable && p.Domain != s.self.Domain && p.ManifestVersion < version
-	})
-}
-
-// randomPeer returns the name of a random peer that is accepted, or "" if there is none.
-func (s *State) randomPeer(accepted func(p *member.Peer) bool) string {
-	peers := s.peers.All()
-	if len(peers) == 0 {
-		return ""
-	}
-	start := s.random.IntN(len(peers))
-	for i := range peers {
-		if p := &peers[(start+i)%len(peers)]; accepted(p) {
-			return p.Name
-		}
-	}
-	return ""
-}
-
-// syncPeers sends a Sync to up to n accepted peers, each chosen at random.
-func (s *State) syncPeers(now time.Time, n int, accepted func(p *member.Peer) bool) {
-	chosen := make([]string, 0, n)
-	for range n {
-		name := s.randomPeer(func(p *member.Peer) bool {
-			for _, c := range chosen {
-				if c == p.Name {
-					return false
-				}
-			}
-			return accepted(p)
-		})
-		if name == "" {
-			return
-		}
-		chosen = append(chosen, name)
-		s.send(name, s.syncMessage(now, freshGossipLimit, s.gossipRotation()))
-	}
+	s.syncPeers(now, changeFanout, func(p *member.Peer) bool { return s.inDomain(p) && p.ManifestVersion < version })
+	s.syncPeers(now, 1, func(p *member.Peer) bool { return s.outsideDomain(p) && p.ManifestVersion < version })
 }
--- a/core/distribution_test.go
+++ b/core/distribution_test.go
@@ -1,234 +1,12 @@
 package core
 
 import (
-	"container/heap"
-	"fmt"
-	"math/rand/v2"
-	"net/netip"
 	"testing"
 	"time"
 
-	"celeryshelf/core/manifest"
-	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
 )
 
-// electedFleet simulates nodes that elect watchers: a store that answers only calls and
-// watches, and messages between the nodes. It counts the calls.
-type electedFleet struct {
-	t        *testing.T
-	now      time.Time
-	queue    simQueue
-	order    int
-	random   *rand.Rand
-	nodes    []*electedNode
-	byName   map[string]*electedNode
-	stored   manifest.Versioned
-	records  map[quota.Shard]string // owner
-	away     bool                   // the store answers nobody
-	verifies int
-	claims   int
-	messages int
-}
-
-type electedNode struct {
-	*State
-	watching bool
-	cut      bool // cut off from the store
-	dead     bool
-}
-
-const (
-	electedHop       = 2 * time.Millisecond
-	electedStoreTime = 4 * time.Millisecond
-	electedStaleness = 3800 * time.Millisecond
-)
-
-func electedManifest(version uint64) manifest.Versioned {
-	v := testManifest(20, 40)
-	v.Version = version
-	v.ApplyID = fmt.Sprint("r", version)
-	for i := range 12 {
-		v.Manifest.Workspaces = append(v.Manifest.Workspaces, manifest.Workspace{Name: fmt.Sprint("w", i), Rate: 10, Burst: 10})
-	}
-	return v
-}
-
-func newElectedFleet(t *testing.T, domains, perDomain int) *electedFleet {
-	f := &electedFleet{
-		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(3, 4)), byName: map[string]*electedNode{},
-		stored: electedManifest(1), records: map[quota.Shard]string{},
-	}
-	var members []member.Member
-	for i := range domains * perDomain {
-		ip := netip.AddrFrom4([4]byte{127, 0, byte(i / 200), byte(i%200 + 1)})
-		members = append(members, member.Member{
-			Name: fmt.Sprintf("d%d-%d", i%domains, i), Service: "maps", Domain: fmt.Sprint("d", i%domains),
-			NodeAddr: netip.AddrPortFrom(ip, 1), ControlAddr: netip.AddrPortFrom(ip, 2), Incarnation: 1, Revision: 1,
-		})
-	}
-	for i, m := range members {
-		n := &electedNode{State: New(Settings{Self: m, RandomSeed: uint64(i), PlannedAdmission: true, ElectWatchers: true, MaxStaleness: electedStaleness})}
-		f.nodes = append(f.nodes, n)
-		f.byName[m.Name] = n
-		f.start(n, members)
-	}
-	return f
-}
-
-// start lets a node begin its work at a random time within 300 ms.
-func (f *electedFleet) start(n *electedNode, members []member.Member) {
-	f.after(time.Duration(f.random.IntN(300))*time.Millisecond, func() {
-		f.step(n, &LeaseHeld{Until: f.now.Add(time.Hour)})
-		f.step(n, &MembersStored{Members: members})
-		f.tick(n)
-	})
-}
-
-// restart replaces all processes at once. The store keeps the records of the earlier ones.
-func (f *electedFleet) restart() {
-	var members []member.Member
-	for _, n := range f.nodes {
-		members = append(members, n.self)
-	}
-	for i, old := range f.nodes {
-		self := old.self
-		self.Incarnation, self.Revision, self.ManifestVersion = self.Incarnation+1, 1, 0
-		old.dead = true
-		n := &electedNode{State: New(Settings{Self: self, RandomSeed: uint64(i + 1000), PlannedAdmission: true, ElectWatchers: true, MaxStaleness: electedStaleness})}
-		f.nodes[i], f.byName[self.Name] = n, n
-		f.start(n, members)
-	}
-}
-
-func (f *electedFleet) after(d time.Duration, run func()) {
-	f.order++
-	heap.Push(&f.queue, simEvent{at: f.now.Add(d), order: f.order, run: run})
-}
-
-func (f *electedFleet) tick(n *electedNode) {
-	if n.dead {
-		return
-	}
-	f.step(n, &Tick{})
-	f.after(n.NextTickDelay(f.now), func() { f.tick(n) })
-}
-
-func (f *electedFleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(simEvent)
-		f.now = e.at
-		e.run()
-	}
-	f.now = end
-}
-
-func (f *electedFleet) step(n *electedNode, e Event) {
-	if n.dead {
-		return
-	}
-	effects := n.Step(f.now, e)
-	for _, m := range effects.Envelopes {
-		f.messages++
-		to := f.byName[m.To]
-		from, body := n.self.Name, m.Body
-		f.after(electedHop, func() {
-			f.step(to, &MessageReceived{From: from, Body: body})
-			f.step(n, &PeerReachability{Name: to.self.Name, Reachable: !to.dead})
-		})
-	}
-	for _, r := range effects.StoreRequests {
-		f.request(n, r)
-	}
-}
-
-func (f *electedFleet) reaches(n *electedNode) bool { return !f.away && !n.cut && !n.dead }
-
-func (f *electedFleet) request(n *electedNode, r StoreRequest) {
-	switch r := r.(type) {
-	case *VerifyManifest:
-		f.verifies++
-		asked := f.now
-		f.after(electedStoreTime, func() { f.readManifest(n, asked) })
-	case *SetWatch:
-		n.watching = r.Enabled
-		if r.Enabled {
-			f.after(electedStoreTime, func() { f.readManifest(n, f.now) })
-			f.after(electedStoreTime, func() { f.readRecords(n) })
-		}
-	case *ClaimShard:
-		f.claims++
-		f.after(electedStoreTime, func() { f.claim(n, r) })
-	}
-}
-
-func (f *electedFleet) readManifest(n *electedNode, at time.Time) {
-	if f.reaches(n) {
-		f.step(n, &ManifestStored{Manifest: f.stored})
-		f.step(n, &ManifestConfirmed{Version: f.stored.Version, At: at})
-	}
-}
-
-func (f *electedFleet) readRecords(n *electedNode) {
-	if !f.reaches(n) {
-		return
-	}
-	e := &StoreSnapshot{}
-	for shard, owner := range f.records {
-		e.Shards = append(e.Shards, ShardRecord{Shard: shard, Owner: owner})
-	}
-	f.step(n, e)
-}
-
-func (f *electedFleet) claim(n *electedNode, r *ClaimShard) {
-	if owner, taken := f.records[r.Shard]; taken && owner != n.self.Name || !f.reaches(n) {
-		return
-	}
-	f.records[r.Shard] = n.self.Name
-	f.step(n, &ClaimDone{Shard: r.Shard, Held: true})
-	f.watchEvent(&ShardStored{ShardRecord{Shard: r.Shard, Owner: n.self.Name}})
-}
-
-func (f *electedFleet) watchEvent(e Event) {
-	for _, n := range f.nodes {
-		if n.watching {
-			f.after(electedStoreTime, func() {
-				if f.reaches(n) {
-					f.step(n, e)
-				}
-			})
-		}
-	}
-}
-
-// publish writes a manifest to the store, whose watch tells the watchers of it.
-func (f *electedFleet) publish(version uint64) {
-	f.stored = electedManifest(version)
-	f.watchEvent(&ManifestStored{Manifest: f.stored})
-}
-
-// behind returns the number of live nodes without the version.
-func (f *electedFleet) behind(version uint64) int {
-	count := 0
-	for _, n := range f.nodes {
-		if !n.dead && n.manifestVersion() < version {
-			count++
-		}
-	}
-	return count
-}
-
-func (f *electedFleet) watchers() []*electedNode {
-	var out []*electedNode
-	for _, n := range f.nodes {
-		if n.watching && !n.dead {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // configBound is the time within which a manifest must be in force everywhere.
 const configBound = 2 * time.Second
 
@@ -291,11 +69,7 @@
 	const seconds = 10
 	for range seconds * 10 {
 		f.run(100 * time.Millisecond)
-		for _, n := range f.nodes {
-			if age := f.now.Sub(n.manifestConfirmedAt); age > electedStaleness {
-				t.Fatalf("the manifest of %s was last confirmed %s ago", n.self.Name, age)
-			}
-		}
+		f.checkConfirmed()
 	}
 	if limit := 2 * seconds; f.verifies > limit {
 		t.Errorf("%d calls in %d s, want at most %d", f.verifies, seconds, limit)
@@ -323,11 +97,7 @@
 	f.byName[planner].cut = true
 	for range 100 {
 		f.run(100 * time.Millisecond)
-		for _, n := range f.nodes {
-			if age := f.now.Sub(n.manifestConfirmedAt); age > electedStaleness {
-				t.Fatalf("the manifest of %s was last confirmed %s ago", n.self.Name, age)
-			}
-		}
+		f.checkConfirmed()
 	}
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -29,7 +29,8 @@
 // what another writer has left in the store from being used.
 const (
 	maxNameBytes = 256
-	maxSlots     = 1 << 20
+	// MaxSlots is the largest number of slots that a target may declare.
+	MaxSlots = 1 << 20
 	// maxCounter leaves room above the counter of a foreign announcement of the own name.
 	maxCounter = 1 << 63
 )
@@ -52,8 +53,8 @@
 	if m.NodeAddr.Addr().Is4() != m.ControlAddr.Addr().Is4() {
 		return fmt.Errorf("addresses %s and %s are of different families", m.NodeAddr, m.ControlAddr)
 	}
-	if m.Slots < 0 || m.Slots > maxSlots {
-		return fmt.Errorf("slots are %d, want 0 to %d", m.Slots, maxSlots)
+	if m.Slots < 0 || m.Slots > MaxSlots {
+		return fmt.Errorf("slots are %d, want 0 to %d", m.Slots, MaxSlots)
 	}
 	if m.Incarnation >= maxCounter || m.Revision >= maxCounter {
 		return fmt.Errorf("incarnation %d or revision %d is out of range", m.Incarnation, m.Revision)
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -145,7 +145,6 @@
 // ago and returns their names.
 func (t *Table) RemoveExpired(now time.Time) []string {
 	var removed []string
-	defer func() { t.version += uint64(len(removed)) }()
 	t.peers = slices.DeleteFunc(t.peers, func(p Peer) bool {
 		expired := p.Unreachable && now.Sub(p.LastHeard) >= UnreachableRetention
 		if expired {
@@ -153,6 +152,7 @@
 		}
 		return expired
 	})
+	t.version += uint64(len(removed))
 	return removed
 }
 
--- a/core/membership.go
+++ b/core/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"celeryshelf/core/member"
@@ -132,101 +131,6 @@
 	s.effects.Envelopes = append(s.effects.Envelopes, Envelope{To: to, Address: p.ControlAddr, Body: m})
 }
 
-// syncMessage returns a Sync with up to limit recently changed announcements and the given
-// number of others.
-func (s *State) syncMessage(now time.Time, limit, others int) *Sync {
-	return &Sync{
-		Self:    s.self,
-		Uptime:  now.Sub(s.started),
-		Members: s.peers.NextGossip(limit, others),
-	}
-}
-
-// gossip sends a Sync to a few random peers and to one unreachable peer, or to the seed
-// addresses while no peer is known.
-func (s *State) gossip(now time.Time) {
-	if len(s.peers.All()) == 0 {
-		for _, seed := range s.seedAddresses {
-			s.effects.Envelopes = append(s.effects.Envelopes, s.seedSync(now, seed))
-		}
-		return
-	}
-	if s.watch.electionEnabled {
-		s.syncByDomain(now)
-	} else {
-		s.syncRandomPeers(now, syncFanout)
-	}
-	s.syncUnreachablePeer(now)
-}
-
-// syncByDomain sends a Sync to a peer of the own domain and, every crossDomainRounds rounds,
-// to one of another.
-func (s *State) syncByDomain(now time.Time) {
-	s.syncPeers(now, 1, func(p *member.Peer) bool { return !p.Unreachable && p.Domain == s.self.Domain })
-	if s.random.IntN(crossDomainRounds) == 0 || len(s.currentRoles().domains) == len(s.peers.All())+1 {
-		s.syncPeers(now, 1, func(p *member.Peer) bool { return !p.Unreachable && p.Domain != s.self.Domain })
-	}
-}
-
-// gossipRotation returns the number of unchanged announcements in a Sync.
-func (s *State) gossipRotation() int {
-	if s.watch.electionEnabled {
-		return electedRotation
-	}
-	return gossipRotation
-}
-
-func (s *State) seedSync(now time.Time, seed netip.AddrPort) Envelope {
-	return Envelope{Address: seed, Body: s.syncMessage(now, 0, 0)}
-}
-
-// syncRandomPeers sends a Sync to n reachable peers that are adjacent in the order of names,
-// from a random start.
-func (s *State) syncRandomPeers(now time.Time, n int) {
-	peers := s.peers.All()
-	if len(peers) == 0 {
-		return
-	}
-	start := s.random.IntN(len(peers))
-	for i := 0; i < len(peers) && n > 0; i++ {
-		p := &peers[(start+i)%len(peers)]
-		if p.Unreachable {
-			continue
-		}
-		s.send(p.Name, s.syncMessage(now, freshGossipLimit, s.gossipRotation()))
-		n--
-	}
-}
-
-// syncUnreachablePeer sends a Sync to a random unreachable peer.
-func (s *State) syncUnreachablePeer(now time.Time) {
-	peers := s.peers.All()
-	if len(peers) == 0 {
-		return
-	}
-	start := s.random.IntN(len(peers))
-	for i := range peers {
-		if p := &peers[(start+i)%len(peers)]; p.Unreachable {
-			s.send(p.Name, s.syncMessage(now, 0, 0))
-			return
-		}
-	}
-}
-
-// announceStart sends a Sync to many peers once, as soon as the first peers are known.
-func (s *State) announceStart(now time.Time) {
-	if s.startAnnounced || len(s.peers.All()) == 0 {
-		return
-	}
-	s.startAnnounced = true
-	if s.watch.electionEnabled {
-		s.syncPeers(now, electedStartFanout/2, func(p *member.Peer) bool { return !p.Unreachable && p.Domain == s.self.Domain })
-		s.syncPeers(now, electedStartFanout/2, func(p *member.Peer) bool { return !p.Unreachable && p.Domain != s.self.Domain })
-		return
-	}
-	s.syncRandomPeers(now, startFanout)
-}
-
 // announce raises the revision of the node's own announcement and writes it to the store.
 // Peers hear of it by gossip.
 func (s *State) announce() {
@@ -243,8 +147,7 @@
 	case *ManifestRequest:
 		if s.manifest != nil {
 			s.send(e.From, &ManifestResponse{Manifest: s.manifest.source})
-			c := s.confirmation(now, m.Uptime)
-			s.send(e.From, &c)
+			s.sendConfirmation(now, e.From, m.Uptime)
 		}
 	case *ManifestResponse:
 		s.applyManifest(now, m.Manifest)
@@ -294,7 +197,7 @@
 	joined := s.mergeMember(now, m.Self)
 	s.comparePeerClock(now, m.Self.Name, m.Uptime)
 	s.peers.SetManifestVersion(m.Self.Name, m.Self.ManifestVersion)
-	s.sendConfirmation(now, m)
+	s.sendConfirmation(now, m.Self.Name, m.Uptime)
 	for _, o := range m.Members {
 		s.mergeMember(now, o)
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -186,6 +186,9 @@
 	return xxhash.Sum64(b[:])
 }
 
+// randomFraction returns a number from 0 up to 1 that is derived from a call's ID.
+func randomFraction(id CallID) float64 { return float64(hashUint64(uint64(id))>>11) / (1 << 53) }
+
 func (s *State) addNotice(n Notice) {
 	s.effects.Notices = append(s.effects.Notices, n)
 }
--- a/core/watch.go
+++ b/core/watch.go
@@ -70,8 +70,8 @@
 }
 
 func (s *State) sendToOwnDomain(m Message) {
-	for _, p := range s.peers.All() {
-		if p.Domain == s.self.Domain && !p.Unreachable {
+	for i := range s.peers.All() {
+		if p := &s.peers.All()[i]; s.inDomain(p) {
 			s.send(p.Name, m)
 		}
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"celeryshelf/core/manifest"
+	"celeryshelf/io/http1"
 )
 
 // maxSidecarBytes is the maximum size of a settings file.
@@ -49,7 +50,6 @@
 const (
 	defaultDescriptors = 4096
 	minDescriptors     = 256
-	defaultHeadBytes   = 64 << 10
 	minHeadBytes       = 1 << 10
 )
 
@@ -122,7 +122,7 @@
 			{Path: "/", Rule: fmt.Sprintf("document is larger than %d bytes", maxSidecarBytes)},
 		}}
 	}
-	s := Sidecar{Log: Log{Level: "info"}, Descriptors: defaultDescriptors, MaxHeadBytes: defaultHeadBytes}
+	s := Sidecar{Log: Log{Level: "info"}, Descriptors: defaultDescriptors, MaxHeadBytes: http1.DefaultMaxHeadBytes}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -96,26 +96,7 @@
 // the key was at the given revision. Revision 0 means that the key must not exist. It
 // reports whether it wrote the value.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, lease int64) (bool, error) {
-	if revision == 0 {
-		return c.Create(ctx, key, nil, value, lease)
-	}
-	return c.txn(ctx, txnRequest{
-		Compare: []compare{{Key: []byte(key), Target: targetMod, Result: resultEqual, ModRevision: &revision}},
-		Success: []requestOp{{Put: &putRequest{Key: []byte(key), Value: value, Lease: lease}}},
-	})
-}
-
-// Create writes a value if neither its key nor any of the conflicting keys exists, and
-// reports whether it did.
-func (c *Client) Create(ctx context.Context, key string, conflicting []string, value []byte, lease int64) (bool, error) {
-	var absent int64
-	req := txnRequest{Success: []requestOp{{Put: &putRequest{Key: []byte(key), Value: value, Lease: lease}}}}
-	for _, k := range append([]string{key}, conflicting...) {
-		req.Compare = append(req.Compare, compare{
-			Key: []byte(k), Target: targetCreate, Result: resultEqual, CreateRevision: &absent,
-		})
-	}
-	return c.txn(ctx, req)
+	return c.Commit(ctx, []store.Write{{Key: key, Value: value, Revision: revision}}, lease)
 }
 
 // Commit makes all writes under a lease if the conditions of all of them are met, and reports
--- a/io/http1/limit_test.go
+++ b/io/http1/limit_test.go
@@ -14,6 +14,21 @@
 // maxAllocation is far below the memory of a node and far above what a bounded head needs.
 const maxAllocation = 8 << 20
 
+// allocated returns the number of bytes that the process has allocated so far.
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+// checkAllocation fails the test if more than maxAllocation has been allocated since before.
+func checkAllocation(t *testing.T, before uint64) {
+	t.Helper()
+	if grown := allocated() - before; grown > maxAllocation {
+		t.Errorf("allocated %d bytes, want at most %d", grown, maxAllocation)
+	}
+}
+
 // writeForever writes the prefix and then the unit again and again until the peer closes.
 func writeForever(prefix, unit string) func(net.Conn) {
 	return func(c net.Conn) {
@@ -50,16 +65,12 @@
 			serve := writeForever(tt.prefix, tt.unit)
 			at := startServer(t, func(c net.Conn) { serve(c); close(closed) })
 			ctx := testContext(t)
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
+			before := allocated()
 			_, err := roundTrip(ctx, NewClient(Config{Address: at, Verifier: requestIDVerifier{}}), "a", nil)
-			runtime.ReadMemStats(&after)
 			if err == nil || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
 				t.Errorf("got error %v, context error %v; want an error of a request that may have run", err, ctx.Err())
 			}
-			if grown := after.TotalAlloc - before.TotalAlloc; grown > maxAllocation {
-				t.Errorf("allocated %d bytes, want at most %d", grown, maxAllocation)
-			}
+			checkAllocation(t, before)
 			select {
 			case <-closed:
 			case <-time.After(5 * time.Second):
@@ -101,8 +112,7 @@
 				t.Fatal(err)
 			}
 			req.Header.Set("Request-Id", "a")
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
+			before := allocated()
 			res, err := NewClient(Config{Address: at, Verifier: requestIDVerifier{}}).RoundTrip(req)
 			if err != nil {
 				t.Fatal(err)
@@ -114,10 +124,7 @@
 				}
 			}
 			_ = res.Body.Close()
-			runtime.ReadMemStats(&after)
-			if grown := after.TotalAlloc - before.TotalAlloc; grown > maxAllocation {
-				t.Errorf("allocated %d bytes, want at most %d", grown, maxAllocation)
-			}
+			checkAllocation(t, before)
 			select {
 			case <-closed:
 			case <-time.After(5 * time.Second):
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -219,19 +219,25 @@
 		s.execute(ctx, r)
 		return nil
 	}
-	batch := []*core.ClaimShard{first}
+	claims, next := s.takeClaims(first)
+	s.logFailure(ctx, s.claimShards(ctx, claims))
+	return next
+}
+
+// takeClaims takes the claims at the head of the queue, and the request after them, which is
+// nil if there is none.
+func (s *Session) takeClaims(first *core.ClaimShard) (claims []*core.ClaimShard, next core.StoreRequest) {
+	claims = append(claims, first)
 	for {
 		select {
-		case next := <-s.requests:
-			if c, ok := next.(*core.ClaimShard); ok {
-				batch = append(batch, c)
-				continue
+		case next = <-s.requests:
+			c, ok := next.(*core.ClaimShard)
+			if !ok {
+				return claims, next
 			}
-			s.logFailure(ctx, s.claimShards(ctx, batch))
-			return next
+			claims = append(claims, c)
 		default:
-			s.logFailure(ctx, s.claimShards(ctx, batch))
-			return nil
+			return claims, nil
 		}
 	}
 }
@@ -241,8 +247,6 @@
 	switch r := r.(type) {
 	case *core.AnnounceMember:
 		err = s.announce(ctx, r)
-	case *core.ClaimShard:
-		err = s.claimShards(ctx, []*core.ClaimShard{r})
 	case *core.ReleaseShard:
 		_, err = s.Client.CompareAndDelete(ctx, s.Layout.shardKey(r.Shard), s.claimValue(s.claims.current()))
 	case *core.ReleaseAllShards:
--- a/io/store/shard_claim.go
+++ b/io/store/shard_claim.go
@@ -136,9 +136,10 @@
 // chunks distributes claims over transactions that the store accepts.
 func (s *Session) chunks(claims []*core.ClaimShard, lease int64) []claimChunk {
 	var out []claimChunk
+	value := s.claimValue(lease)
 	entries := maxCommitEntries
 	for _, c := range claims {
-		w := Write{Key: s.Layout.shardKey(c.Shard), Value: s.claimValue(lease)}
+		w := Write{Key: s.Layout.shardKey(c.Shard), Value: value}
 		w.Revision = s.takePreviousClaim(w.Key)
 		for _, shard := range c.Conflicting {
 			w.Absent = append(w.Absent, s.Layout.shardKey(shard))
@@ -172,11 +173,12 @@
 // recordPreviousClaims records the revisions of the claims of an earlier process of
 // this node, so that taking them over needs a single call.
 func (s *Session) recordPreviousClaims(pairs []KeyValue) {
+	own := s.claimValue(s.claims.current())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.previousClaims = map[string]int64{}
 	for _, p := range pairs {
-		if s.fromPreviousProcess(p.Value) && !bytes.Equal(p.Value, s.claimValue(s.claims.current())) {
+		if s.fromPreviousProcess(p.Value) && !bytes.Equal(p.Value, own) {
 			s.previousClaims[p.Key] = p.Revision
 		}
 	}
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -61,13 +61,7 @@
 	}
 	out := &core.MembersStored{}
 	for _, p := range pairs {
-		c := Change{Key: p.Key, Value: p.Value}
-		e, err := s.Layout.decodeEvent(c)
-		if err != nil {
-			s.warnEntry(c, err)
-			continue
-		}
-		if m, ok := e.(*core.MemberStored); ok {
+		if m, ok := s.decode(Change{Key: p.Key, Value: p.Value}).(*core.MemberStored); ok {
 			out.Members = append(out.Members, m.Member)
 		}
 	}
@@ -106,13 +100,7 @@
 	out := &core.StoreSnapshot{}
 	s.recordPreviousClaims(pairs)
 	for _, p := range pairs {
-		c := Change{Key: p.Key, Value: p.Value}
-		e, err := s.Layout.decodeEvent(c)
-		if err != nil {
-			s.warnEntry(c, err)
-			continue
-		}
-		switch e := e.(type) {
+		switch e := s.decode(Change{Key: p.Key, Value: p.Value}).(type) {
 		case *core.ManifestStored:
 			out.Manifest = &e.Manifest
 		case *core.MemberStored:
@@ -152,12 +140,7 @@
 // reportManifest reports a manifest, and confirms its version as the newest at the
 // given time, which precedes the read.
 func (s *Session) reportManifest(c Change, at time.Time) {
-	e, err := s.Layout.decodeEvent(c)
-	if err != nil {
-		s.warnEntry(c, err)
-		return
-	}
-	if m, ok := e.(*core.ManifestStored); ok {
+	if m, ok := s.decode(c).(*core.ManifestStored); ok {
 		s.sink.Post(m)
 		s.sink.Post(&core.ManifestConfirmed{Version: m.Manifest.Version, At: at})
 	}
@@ -189,12 +172,18 @@
 }
 
 func (s *Session) reportChange(c Change) {
+	if e := s.decode(c); e != nil {
+		s.sink.Post(e)
+	}
+}
+
+// decode converts a change into an event. It returns nil for a change that the reducer does
+// not need to know of, and for one that cannot be decoded, which it logs.
+func (s *Session) decode(c Change) core.Event {
 	e, err := s.Layout.decodeEvent(c)
 	if err != nil {
 		s.warnEntry(c, err)
-		return
-	}
-	if e != nil {
-		s.sink.Post(e)
+		return nil
 	}
+	return e
 }
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -16,13 +16,14 @@
 // process was idle: most of the wake-ups of a node that forwards short requests.
 type conn struct {
 	*net.TCPConn
-	raw         syscall.RawConn
 	read, write transfer
 }
 
 // transfer is the state of a read or a write in progress. The functions that the runtime
 // calls until it is complete are kept, so that no call allocates.
 type transfer struct {
+	op      string                                    // for errors
+	wait    func(attempt func(fd uintptr) bool) error // calls attempt until it returns true
 	mu      sync.Mutex
 	buffer  []byte
 	done    int
@@ -36,50 +37,39 @@
 	if err != nil {
 		return c
 	}
-	out := &conn{TCPConn: c, raw: raw}
-	out.read.attempt = out.read.tryRead
-	out.write.attempt = out.write.tryWrite
+	out := &conn{TCPConn: c}
+	out.read.op, out.read.wait, out.read.attempt = "read", raw.Read, out.read.tryRead
+	out.write.op, out.write.wait, out.write.attempt = "write", raw.Write, out.write.tryWrite
 	return out
 }
 
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	t := &c.read
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.buffer, t.done, t.errno = p, 0, 0
-	err := c.raw.Read(t.attempt)
-	t.buffer = nil
-	switch {
-	case err != nil:
-		return 0, c.wrap("read", err)
-	case t.errno != 0:
-		return 0, c.wrap("read", os.NewSyscallError("read", t.errno))
-	case t.done == 0:
+	n, err := c.run(&c.read, p)
+	if n == 0 && err == nil && len(p) > 0 {
 		return 0, io.EOF
 	}
-	return t.done, nil
+	return n, err
 }
 
 // Write writes to the connection.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) { return c.run(&c.write, p) }
+
+// run reads into p or writes it, and returns the number of bytes done.
+func (c *conn) run(t *transfer, p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
-	t := &c.write
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.buffer, t.done, t.errno = p, 0, 0
-	err := c.raw.Write(t.attempt)
+	err := t.wait(t.attempt)
 	t.buffer = nil
-	switch {
-	case err != nil:
-		return t.done, c.wrap("write", err)
-	case t.errno != 0:
-		return t.done, c.wrap("write", os.NewSyscallError("write", t.errno))
+	if err == nil && t.errno != 0 {
+		err = os.NewSyscallError(t.op, t.errno)
+	}
+	if err != nil {
+		return t.done, c.wrap(t.op, err)
 	}
 	return t.done, nil
 }
