review: a burst of clients ends a node that runs out of descriptors

With all 4,100 descriptors open an error of Accept ends the process, and the requests on its kept connections get no answer.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,8 +17,8 @@
 	"early": earlyAnswer,
 	"leave": restartForgetsLeaving,
 	"start": unknownRouteAfterStart,
-	"slow":  slowReader,
 	"gone":  queuedAfterClientLeft,
+	"full":  fullOfConnections,
 }
 
 func main() {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -16,6 +16,7 @@
 	"sync"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 const host = "shop.example"
@@ -55,7 +56,7 @@
 	storeAddr string
 	nodes     []*node
 	dir       string
-	config    map[string]any
+	started   sync.Map // IDs of the requests that endpoints have begun to run
 }
 
 // unable ends the program with the status of a case that cannot run.
@@ -171,6 +172,26 @@
 	n.w.logf("process of %s started", n.name)
 }
 
+// limitDescriptors sets the limit on open descriptors of the node's process.
+func (n *node) limitDescriptors(limit uint64) {
+	value := [2]uint64{limit, limit}
+	if _, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(n.cmd.Process.Pid), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&value)), 0, 0, 0); errno != 0 {
+		unable("limit the descriptors of %s: %v", n.name, errno)
+	}
+}
+
+// descriptors returns the number of open descriptors of the node's process.
+func (n *node) descriptors() int {
+	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
+	return len(list)
+}
+
+// ran reports whether an endpoint has begun to run a request.
+func (w *world) ran(id string) bool {
+	_, ok := w.started.Load(id)
+	return ok
+}
+
 func (w *world) startNodes() {
 	for _, n := range w.nodes {
 		n.start()
@@ -383,6 +404,7 @@
 	v := &run{id: id, key: r.Header.Get("Tenant"), at: time.Now()}
 	e.runs = append(e.runs, v)
 	e.mu.Unlock()
+	e.w.started.Store(id, true)
 	e.w.logf("%s runs %s", e.id, id)
 	defer func() {
 		e.mu.Lock()
