core, io/store: departures of the target outlive its node's process

A starting process writes its announcement first and then reads all of them, so that it read its own. A planned stop deletes the announcement with its lease, and the acknowledgement did not wait for either.

TestRestartedNodeRemembersLeavingTarget had handed it the record directly, past the write.

What announces a departure is acknowledged when the store holds it. A new process uses its target once it has read the record; without an answer of the store, at the first heartbeat after 5 s, the time after which none is taken for overtaken. This replaces the deregistrations before the first heartbeat, which were kept in memory only.

Why it works: no acknowledgement exists without the record, and nothing but the lease's end or a later departure of the same node changes the record.

Tests changed: "store away" of TestRestartedNodeRemembersLeavingTarget used the target 1 s after the start on a heartbeat from before; it must now refuse it and use the next one. The simulation of load_test.go lets its nodes read the store, as the node does.

--- a/core/effect.go
+++ b/core/effect.go
@@ -18,7 +18,10 @@
 	Envelopes     []Envelope
 	StoreRequests []StoreRequest
 	Notices       []Notice
-	NewManifest   *manifest.Versioned // a manifest that has just become active
+	// Acknowledgements lists the messages of the local target that may be acknowledged. What
+	// they told is then not forgotten in a restart.
+	Acknowledgements []AckID
+	NewManifest      *manifest.Versioned // a manifest that has just become active
 }
 
 func (e *Effects) reset() {
@@ -29,6 +32,7 @@
 	e.Envelopes = e.Envelopes[:0]
 	e.StoreRequests = e.StoreRequests[:0]
 	e.Notices = e.Notices[:0]
+	e.Acknowledgements = e.Acknowledgements[:0]
 	e.NewManifest = nil
 }
 
@@ -148,6 +152,14 @@
 	Rows []plan.RouteCost
 }
 
+// SaveDepartures replaces the stored departures of the node's target. DeparturesSaved confirms
+// it.
+type SaveDepartures struct {
+	Revision   uint64
+	Departures []Departure
+}
+
+func (*SaveDepartures) request()   {}
 func (*VerifyManifest) request()   {}
 func (*AnnounceMember) request()   {}
 func (*ClaimShard) request()       {}
@@ -180,6 +192,7 @@
 	NoticePlanUpdated
 	NoticeMemberRejected
 	NoticeMessageRejected
+	NoticeDepartureRecalled
 )
 
 // Notice is an event for the operators' log.
--- a/core/event.go
+++ b/core/event.go
@@ -153,11 +153,14 @@
 	Members  []member.Member
 	Shards   []ShardRecord
 	Costs    []plan.RouteCost // see CostsStored
+	// Departures holds those that earlier processes of this node have stored.
+	Departures []Departure
 }
 
 // MembersStored reports the announcements in the store, as a starting node reads them.
 type MembersStored struct {
-	Members []member.Member
+	Members    []member.Member
+	Departures []Departure // see StoreSnapshot
 }
 
 // CostsStored reports the call costs held by the store, as last written by the
@@ -178,16 +181,27 @@
 	At      time.Time // taken before the store was queried
 }
 
+// AckID identifies a message of the local target that waits for an acknowledgement, 0 if none
+// is wanted.
+type AckID uint64
+
 // HeartbeatReceived reports a heartbeat of the local target.
 type HeartbeatReceived struct {
+	Ack       AckID
 	Heartbeat Heartbeat
 }
 
 // TargetDeregistered reports that the local target has ended its registration.
 type TargetDeregistered struct {
+	Ack        AckID
 	InstanceID string
 }
 
+// DeparturesSaved is the result of a SaveDepartures request that has been carried out.
+type DeparturesSaved struct {
+	Revision uint64 // of the request
+}
+
 // MemberStored reports that the store holds a member's announcement.
 type MemberStored struct {
 	Member member.Member
@@ -247,6 +261,7 @@
 func (*ShardStored) event()        {}
 func (*ShardDeleted) event()       {}
 func (*ClaimDone) event()          {}
+func (*DeparturesSaved) event()    {}
 func (*CostsStored) event()        {}
 func (*MessageReceived) event()    {}
 func (*PeerReachability) event()   {}
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -99,6 +99,7 @@
 		m.nodes = append(m.nodes, nil)
 		m.hops = append(m.hops, nil)
 		m.restart(i)
+		m.step(i, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	}
 	for i := range m.nodes {
 		for j := range m.nodes {
--- a/core/membership.go
+++ b/core/membership.go
@@ -68,9 +68,8 @@
 	if s.self.Draining && !s.target.closedByDrain && !now.Before(s.targetOpenUntil) {
 		s.closeTarget(now)
 	}
-	if now.Sub(s.started) >= recallTimeout {
-		s.endRecall(now)
-	}
+	s.expireRecall(now)
+	s.saveDepartures(now)
 	s.expireAckWaits(now)
 	s.tickTokens(now)
 	s.sendShardUpdate(now)
--- a/core/names.go
+++ b/core/names.go
@@ -55,6 +55,7 @@
 	NoticeManifestRejected: "manifest-refused",
 	NoticeTargetAvailable:  "target-opened", NoticeTargetUnavailable: "target-closed", NoticePlanUpdated: "planned",
 	NoticeMemberRejected: "member-refused", NoticeMessageRejected: "message-refused",
+	NoticeDepartureRecalled: "departure-recalled",
 }
 
 // String returns the notice's name in logs.
--- a/core/odd_entry_test.go
+++ b/core/odd_entry_test.go
@@ -196,7 +196,11 @@
 		s.Step(now, heartbeat(8, 1, false))
 		now = now.Add(recallTimeout)
 		s.Step(now, &Tick{})
-		if !arrive(s, 1) {
+		if arrive(s, 1) {
+			t.Error("a call ran after a heartbeat that may have been overtaken before the restart")
+		}
+		s.Step(now, heartbeat(8, 2, false))
+		if !arrive(s, 2) {
 			t.Error("a call did not run although the store has not answered in time")
 		}
 	})
--- a/core/state.go
+++ b/core/state.go
@@ -151,9 +151,9 @@
 	case *DrainRequested:
 		s.startDrain(now, e)
 	case *HeartbeatReceived:
-		s.handleHeartbeat(now, e.Heartbeat)
+		s.handleHeartbeat(now, e)
 	case *TargetDeregistered:
-		s.handleTargetDeregistered(now, e.InstanceID)
+		s.handleTargetDeregistered(now, e)
 	default:
 		s.handleStoreEvent(now, e)
 	}
--- a/core/store.go
+++ b/core/store.go
@@ -53,6 +53,8 @@
 		s.setStoredCosts(now, e.Rows)
 	case *ClaimDone:
 		s.handleClaimDone(now, e)
+	case *DeparturesSaved:
+		s.handleDeparturesSaved(e)
 	}
 }
 
@@ -88,6 +90,7 @@
 	for _, m := range e.Members {
 		s.mergeMember(now, m)
 	}
+	s.recallDepartures(now, e.Departures)
 	s.endRecall(now)
 	s.announceStart(now)
 	s.setStoredCosts(now, e.Costs)
@@ -115,6 +118,7 @@
 	for _, m := range e.Members {
 		s.mergeMember(now, m)
 	}
+	s.recallDepartures(now, e.Departures)
 	s.endRecall(now)
 	s.announceStart(now)
 	if !s.watch.electedFrom.IsZero() {
--- a/core/target.go
+++ b/core/target.go
@@ -27,23 +27,19 @@
 	heartbeatsExpected bool // the target sends heartbeats
 	last               Heartbeat
 	heartbeatReceived  bool
-	deregistered       bool
-	// earlyDeregistrations holds the instances that deregistered before a heartbeat of theirs
-	// had arrived, with the time of the deregistration.
-	earlyDeregistrations map[string]time.Time
-	closedByDrain        bool // the node is draining and sends the target no more calls
-	// recalledLeaving is the start of the newest instance that an earlier process of this
-	// node has announced as leaving, in Unix milliseconds, 0 if none is known.
-	recalledLeaving int64
-	// recalled is set once the store has been read, or cannot be read in time. Until then an
-	// earlier process may have announced that the target leaves.
+	departed           bool // the instance of the last heartbeat has departed
+	closedByDrain      bool // the node is draining and sends the target no more calls
+	departures         departures
+	// recalled is set once the departures that earlier processes of this node have stored
+	// are known, or no heartbeat from before this process can arrive any more.
 	recalled bool
 }
 
-// recallTimeout is how long a starting node waits for the store before it uses its target.
-const recallTimeout = 1 * time.Second
+// recallTimeout is how long after the start a heartbeat may still have been sent to an earlier
+// process of the node. Without an answer of the store, the target is used after that time.
+const recallTimeout = lateHeartbeatTime
 
-// endRecall lets the target be used, whatever the store has told of it by now.
+// endRecall lets the target be used after its departures have been read from the store.
 func (s *State) endRecall(now time.Time) {
 	if s.target.recalled {
 		return
@@ -51,74 +47,60 @@
 	s.target.recalled = true
 	if s.target.heartbeatsExpected {
 		s.updateTarget(now)
+		s.saveDepartures(now)
 	}
 }
 
-// available reports whether the target may be given calls.
-func (t *targetState) available() bool {
-	return !t.closedByDrain && (!t.heartbeatsExpected || t.recalled && t.heartbeatReceived && !t.leaving())
+// expireRecall lets the target be used although the store has not been read. A heartbeat that
+// has arrived up to now may have been overtaken by a departure that an earlier process has
+// acknowledged, so that it takes another one.
+func (s *State) expireRecall(now time.Time) {
+	if s.target.recalled || now.Sub(s.started) < recallTimeout {
+		return
+	}
+	s.target.last, s.target.heartbeatReceived, s.target.departed = Heartbeat{}, false, false
+	s.endRecall(now)
 }
 
-// leaving reports whether the last instance that was heard of has announced that it leaves,
-// or has deregistered.
-func (t *targetState) leaving() bool {
-	return t.deregistered || t.heartbeatReceived && (t.last.Draining || t.last.StartUnixMilli != 0 && t.last.StartUnixMilli <= t.recalledLeaving)
+// available reports whether the target may be given calls.
+func (t *targetState) available() bool {
+	return !t.closedByDrain && (!t.heartbeatsExpected || t.recalled && t.heartbeatReceived && !t.departed)
 }
 
-// recallLeavingTarget applies what an earlier process of this node has announced: an
-// instance that was leaving gets no calls from this process either, even if a heartbeat
-// that was overtaken says that it is ready.
+// recallLeavingTarget applies what an earlier process of this node has announced to its peers.
 func (s *State) recallLeavingTarget(now time.Time, m member.Member) {
-	t := &s.target
-	if !t.heartbeatsExpected || !m.TargetLeaving || m.TargetStartMilli <= t.recalledLeaving {
-		return
+	if m.TargetLeaving && m.TargetStartMilli != 0 {
+		s.recallDeparture(now, Departure{StartUnixMilli: m.TargetStartMilli})
 	}
-	t.recalledLeaving = m.TargetStartMilli
-	s.updateTarget(now)
 }
 
 // handleHeartbeat ignores a heartbeat that arrives after a later one or after its
-// instance has deregistered.
-func (s *State) handleHeartbeat(now time.Time, h Heartbeat) {
-	t := &s.target
-	if t.heartbeatReceived && !h.newerThan(t.last) {
-		return
+// instance has departed.
+func (s *State) handleHeartbeat(now time.Time, e *HeartbeatReceived) {
+	t, h := &s.target, e.Heartbeat
+	if !t.heartbeatReceived || h.newerThan(t.last) {
+		t.departures.identify(now, h)
+		// A departed instance never becomes available again.
+		t.departed = h.Draining || t.departed && h.StartUnixMilli == t.last.StartUnixMilli || t.departures.includes(now, h)
+		t.last, t.heartbeatReceived = h, true
+		s.updateTarget(now)
 	}
-	if t.deregistered && h.StartUnixMilli == t.last.StartUnixMilli {
+	if h.Draining {
+		s.recordDeparture(now, Departure{InstanceID: h.InstanceID, StartUnixMilli: h.StartUnixMilli}, e.Ack)
 		return
 	}
-	if t.heartbeatReceived && h.StartUnixMilli == t.last.StartUnixMilli && t.last.Draining {
-		h.Draining = true // a draining instance never becomes available again
-	}
-	t.last, t.heartbeatReceived = h, true
-	at, early := t.earlyDeregistrations[h.InstanceID]
-	t.deregistered = early && now.Sub(at) < lateHeartbeatTime
-	s.updateTarget(now)
+	s.acknowledge(e.Ack)
 }
 
-const (
-	// lateHeartbeatTime is how long after an instance's deregistration a heartbeat counts as
-	// one that was overtaken. The instance still serves for a while, so that another with
-	// the same ID cannot have started.
-	lateHeartbeatTime = 5 * time.Second
-	// maxEarlyDeregistrations bounds the deregistrations that are remembered.
-	maxEarlyDeregistrations = 16
-)
-
-func (s *State) handleTargetDeregistered(now time.Time, id string) {
+func (s *State) handleTargetDeregistered(now time.Time, e *TargetDeregistered) {
 	t := &s.target
-	if !t.heartbeatReceived || t.last.InstanceID != id {
-		if t.earlyDeregistrations == nil || len(t.earlyDeregistrations) >= maxEarlyDeregistrations {
-			t.earlyDeregistrations = map[string]time.Time{}
-		}
-		t.earlyDeregistrations[id] = now
-		return
-	}
-	if t.deregistered {
+	if !t.heartbeatReceived || t.last.InstanceID != e.InstanceID {
+		s.recordDeparture(now, Departure{InstanceID: e.InstanceID}, e.Ack)
 		return
 	}
-	t.deregistered = true
+	t.departed = true
 	s.updateTarget(now)
+	s.recordDeparture(now, Departure{InstanceID: e.InstanceID, StartUnixMilli: t.last.StartUnixMilli}, e.Ack)
 }
 
 // updateTarget updates routing, gate and peers if the target's part of the node's
@@ -127,7 +109,7 @@
 	before := s.self
 	t := &s.target
 	s.self.TargetClosed, s.self.Slots, s.self.TargetStartMilli = !t.available(), t.last.Slots, t.last.StartUnixMilli
-	s.self.TargetLeaving = t.leaving()
+	s.self.TargetLeaving = t.departed
 	if s.self == before {
 		return
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -349,13 +349,19 @@
 }
 
 // Heartbeat applies a heartbeat of the local target. It returns after the heartbeat has
-// taken effect, or with false if the node is stopping or the context is done.
+// taken effect, and after the store holds that the target leaves if the heartbeat says so. It
+// returns false if the node is stopping or the context is done first.
 func (a *Agent) Heartbeat(ctx context.Context, h core.Heartbeat) bool {
-	return a.loop.PostAndWait(ctx, &core.HeartbeatReceived{Heartbeat: h})
+	return a.loop.PostAndAwaitAck(ctx, func(id core.AckID) core.Event {
+		return &core.HeartbeatReceived{Ack: id, Heartbeat: h}
+	})
 }
 
 // Deregister removes the registration of the local target. It returns after the removal has
-// taken effect, or with false if the node is stopping or the context is done.
+// taken effect and the store holds it, or with false if the node is stopping or the context is
+// done first.
 func (a *Agent) Deregister(ctx context.Context, id string) bool {
-	return a.loop.PostAndWait(ctx, &core.TargetDeregistered{InstanceID: id})
+	return a.loop.PostAndAwaitAck(ctx, func(ack core.AckID) core.Event {
+		return &core.TargetDeregistered{Ack: ack, InstanceID: id}
+	})
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"celeryshelf/core"
@@ -46,7 +47,9 @@
 	event   core.Event
 	call    *CallHandle // set with the arrival of a call: receives its verdicts
 	inspect func(s *core.State)
-	applied chan struct{} // closed after the event has been applied or inspect has returned
+	applied chan struct{} // closed after inspect has returned
+	ack     core.AckID    // of the event, if its acknowledgement is waited for
+	acked   chan struct{} // closed when the reducer acknowledges it; nil gives up waiting
 }
 
 // Loop queues events for the control goroutine and executes their effects.
@@ -54,7 +57,10 @@
 	Config
 	queue chan queueItem
 	calls map[core.CallID]*CallHandle
+	acks  map[core.AckID]chan struct{} // events whose acknowledgement is waited for
 	done  chan struct{}
+
+	lastAck atomic.Uint64
 }
 
 // New returns a loop; Run starts it.
@@ -63,6 +69,7 @@
 		Config: c,
 		queue:  make(chan queueItem, queueSize),
 		calls:  map[core.CallID]*CallHandle{},
+		acks:   map[core.AckID]chan struct{}{},
 		done:   make(chan struct{}),
 	}
 }
@@ -104,21 +111,29 @@
 // Inspect runs a function on the state in the control goroutine and waits until it has
 // returned. It returns false if the loop has stopped or the context is done first.
 func (l *Loop) Inspect(ctx context.Context, f func(s *core.State)) bool {
-	return l.wait(ctx, queueItem{inspect: f, applied: make(chan struct{})})
+	applied := make(chan struct{})
+	return l.wait(ctx, queueItem{inspect: f, applied: applied}, applied)
 }
 
-// PostAndWait queues an event and waits until it has been applied. It returns false if the
-// loop has stopped or the context is done first.
-func (l *Loop) PostAndWait(ctx context.Context, e core.Event) bool {
-	return l.wait(ctx, queueItem{event: e, applied: make(chan struct{})})
+// PostAndAwaitAck queues the event that newEvent returns for an ID, and waits until the reducer
+// acknowledges that ID. It returns false if the loop has stopped or the context is done first;
+// the event may then have been applied.
+func (l *Loop) PostAndAwaitAck(ctx context.Context, newEvent func(id core.AckID) core.Event) bool {
+	id, acked := core.AckID(l.lastAck.Add(1)), make(chan struct{})
+	ok := l.wait(ctx, queueItem{event: newEvent(id), ack: id, acked: acked}, acked)
+	if !ok {
+		l.enqueue(queueItem{ack: id})
+	}
+	return ok
 }
 
-func (l *Loop) wait(ctx context.Context, it queueItem) bool {
+// wait queues an item and waits until the channel is closed.
+func (l *Loop) wait(ctx context.Context, it queueItem, closed <-chan struct{}) bool {
 	if !l.enqueue(it) {
 		return false
 	}
 	select {
-	case <-it.applied:
+	case <-closed:
 		return true
 	case <-ctx.Done():
 		return false
@@ -137,11 +152,16 @@
 }
 
 func (l *Loop) handle(now time.Time, it queueItem) {
-	if it.applied != nil {
-		defer close(it.applied)
-	}
 	if it.inspect != nil {
 		it.inspect(l.State)
+		close(it.applied)
+		return
+	}
+	if it.ack != 0 {
+		l.acks[it.ack] = it.acked
+	}
+	if it.event == nil {
+		delete(l.acks, it.ack)
 		return
 	}
 	if it.call != nil {
@@ -173,6 +193,12 @@
 	for _, n := range e.Notices {
 		l.Observer.Notice(n)
 	}
+	for _, id := range e.Acknowledgements {
+		if acked, ok := l.acks[id]; ok {
+			close(acked)
+			delete(l.acks, id)
+		}
+	}
 }
 
 func (l *Loop) deliver(v *core.Verdict) {
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -52,9 +52,15 @@
 
 func (l Layout) memberKey(name string) string { return l.memberPrefix() + name }
 
+// departuresKey is under the member prefix, so that a starting node reads it with the members.
+func (l Layout) departuresKey(name string) string { return l.memberKey(name) + departuresSuffix }
+
 func (l Layout) shardPrefix() string { return l.Prefix + "quota/" }
 
-const costsKind = "costs"
+const (
+	costsKind        = "costs"
+	departuresSuffix = "/departures"
+)
 
 func (l Layout) costsKey() string { return l.Prefix + costsKind }
 
@@ -82,6 +88,9 @@
 	kind, rest, _ := strings.Cut(name, "/")
 	switch kind {
 	case "member":
+		if strings.HasSuffix(rest, departuresSuffix) {
+			return nil, nil // of interest only to a new process of that node
+		}
 		return decodeMember(rest, c)
 	case "quota":
 		return decodeShard(rest, c)
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -260,6 +260,8 @@
 		}
 	case *core.SaveCosts:
 		err = s.saveCosts(ctx, r.Rows)
+	case *core.SaveDepartures:
+		err = s.saveDepartures(ctx, r)
 	}
 	s.logFailure(ctx, err)
 }
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return fmt.Errorf("read members: %w", err)
 	}
-	out := &core.MembersStored{}
+	out := &core.MembersStored{Departures: s.ownDepartures(pairs)}
 	for _, p := range pairs {
 		if m, ok := s.decode(Change{Key: p.Key, Value: p.Value}).(*core.MemberStored); ok {
 			out.Members = append(out.Members, m.Member)
@@ -97,7 +97,7 @@
 	if err != nil {
 		return 0, err
 	}
-	out := &core.StoreSnapshot{}
+	out := &core.StoreSnapshot{Departures: s.ownDepartures(pairs)}
 	s.recordPreviousClaims(pairs)
 	for _, p := range pairs {
 		switch e := s.decode(Change{Key: p.Key, Value: p.Value}).(type) {
