platform, io/http1: a refusal without an id is no answer on a used connection

What callers saw, as other operators report it: 503 or 421, "not run, try again", for a request that an endpoint had run or was running; after the retry it ran twice.

Cause: Verify believed a response that declines the request even if it names no request. A copy of an earlier one on a kept connection declined the request that was running there.

Change: Verify is told whether the connection has carried a response before.

Measured: go test ./platform ./io/http1 ./internal/relay passes.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -42,9 +42,11 @@
 )
 
 // ResponseVerifier checks that a response belongs to its request. It returns an error
-// that wraps ErrResponseMismatch if the response belongs to another request.
+// that wraps ErrResponseMismatch if the response belongs to another request. Once the connection
+// has carried another response, used is set: a response that does not identify its request
+// may then be a copy of that one.
 type ResponseVerifier interface {
-	Verify(req *http.Request, res *http.Response) error
+	Verify(req *http.Request, res *http.Response, used bool) error
 }
 
 // Config holds the parameters of a Client.
@@ -150,6 +152,8 @@
 // earlier requests.
 func (c *Client) readResponse(conn *connection, req *http.Request) (*http.Response, error) {
 	for range maxMismatchedResponses + 1 {
+		used := conn.used
+		conn.used = true
 		res, err := c.readFinalResponse(conn, req)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
@@ -157,7 +161,7 @@
 		if c.Verifier == nil {
 			return res, nil
 		}
-		err = c.Verifier.Verify(req, res)
+		err = c.Verifier.Verify(req, res, used)
 		if err == nil {
 			return res, nil
 		}
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -56,7 +56,7 @@
 // requestIDVerifier accepts responses that carry the Request-Id of their request.
 type requestIDVerifier struct{}
 
-func (requestIDVerifier) Verify(req *http.Request, res *http.Response) error {
+func (requestIDVerifier) Verify(req *http.Request, res *http.Response, _ bool) error {
 	if res.Header.Get("Request-Id") != req.Header.Get("Request-Id") {
 		return ErrResponseMismatch
 	}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -38,6 +38,7 @@
 	source        limitedReader // reads from Conn
 	reader        *bufio.Reader // reads from source, nil while the connection is idle
 	bytesWritten  atomic.Bool
+	used          bool       // a response has been read from it
 	writeResult   chan error // receives the result of a request that is written concurrently, nil if there is none
 	stopCancel    func() bool
 	reuseDeadline time.Time     // the connection is not reused from this time on
