io/http1: bytes of a skipped response are not read as the next one

What callers saw: nothing yet; found beside the report of repeated refusals. A response to an earlier request whose body exceeds 256 KiB could hand bytes of that body to the current request.

Cause: readResponse discarded at most 256 KiB of the body and then parsed what followed.

Evidence: TestSkippedResponseHidesNoOther got the forged response of the body before the change.

Change: a response that is not discarded whole ends the attempt and its connection; the outcome is unknown.

Measured: go test ./io/http1 passes.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -168,9 +168,13 @@
 		if !errors.Is(err, ErrResponseMismatch) || res.Close {
 			return nil, err
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBodyBytes+1))
+		if err != nil {
 			return nil, fmt.Errorf("discard response to another request: %w", err)
 		}
+		if n > maxSkippedBodyBytes {
+			return nil, fmt.Errorf("%w: its body has more than %d bytes", ErrResponseMismatch, maxSkippedBodyBytes)
+		}
 	}
 	return nil, ErrResponseMismatch
 }
