core: a target that has declined a call is not asked again

What callers saw, as other operators report it: a request that an endpoint was running was refused as not run, or ran at a second endpoint.

Cause: each retry excluded only the endpoint of the attempt before. With four attempts and two endpoints the third went back to the first, with the same id; a copy of its first refusal on that connection passes for the answer to the attempt that is running.

Change: a call keeps the endpoints whose target has declined it, and no later attempt goes there. Endpoints that a node's gate refused may still be asked again, as the call did not reach them.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"celeryshelf/core/admit"
@@ -13,8 +14,8 @@
 // another node refused without running them.
 const maxAttempts = 4
 
-// dispatch starts the next attempt of a call at an endpoint other than the excluded
-// one.
+// dispatch starts the next attempt of a call at an endpoint other than the given one and
+// those whose target has declined the call.
 func (s *State) dispatch(now time.Time, c *call, exclude string) {
 	e := s.chooseEndpoint(now, c, exclude)
 	if e == nil {
@@ -36,10 +37,14 @@
 // that repeats reach the same node.
 func (s *State) chooseEndpoint(now time.Time, c *call, exclude string) *route.Endpoint {
 	if c.idempotencyKey.Hash == 0 {
-		return s.routes.Pick(now, c.service, hashUint64(uint64(c.id)), exclude)
+		excluded := c.excluded
+		if exclude != "" {
+			excluded = append(excluded, exclude)
+		}
+		return s.routes.Pick(now, c.service, hashUint64(uint64(c.id)), excluded)
 	}
 	for _, e := range s.routes.RendezvousOrder(c.service, c.idempotencyKey.Hash) {
-		if !e.Draining && !e.Unreachable && e.Name != exclude {
+		if !e.Draining && !e.Unreachable && e.Name != exclude && !slices.Contains(c.excluded, e.Name) {
 			return e
 		}
 	}
@@ -214,6 +219,9 @@
 	if e.Executed != ExecutedNo || e.Cause == CauseTargetOverloaded {
 		c.targetAttempts++
 	}
+	if e.Cause == CauseTargetOverloaded {
+		c.excluded = append(c.excluded, c.endpoint.Name)
+	}
 	c.recordEndpointLoad(now, e.Load)
 	local := c.phase == phaseRunning
 	if local {
--- a/core/call.go
+++ b/core/call.go
@@ -49,10 +49,11 @@
 	replayable      bool // the request can be sent again
 
 	endpoint          *route.Endpoint
-	attempts          int // attempts made, including those refused by other nodes
-	targetAttempts    int // attempts that may have reached a target
-	maxTargetAttempts int // limit of targetAttempts, 0 for none
-	lentRetries       int // retry budget passed to the node it was forwarded to
+	attempts          int      // attempts made, including those refused by other nodes
+	targetAttempts    int      // attempts that may have reached a target
+	maxTargetAttempts int      // limit of targetAttempts, 0 for none
+	excluded          []string // endpoints whose target has declined the call
+	lentRetries       int      // retry budget passed to the node it was forwarded to
 	attemptStart      time.Time
 	executed          Executed
 	level             admit.Level // highest admission level reported downstream
@@ -72,7 +73,7 @@
 	var c *call
 	if n := len(s.freeCalls); n > 0 {
 		c, s.freeCalls = s.freeCalls[n-1], s.freeCalls[:n-1]
-		*c = call{}
+		*c = call{excluded: c.excluded[:0]}
 	} else {
 		c = &call{}
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -83,23 +83,23 @@
 	}
 }
 
-// Pick chooses an endpoint of a service other than exclude for a call: the cheapest of
+// Pick chooses an endpoint of a service that is not excluded for a call: the cheapest of
 // two chosen by the seed and one of the node's own domain. It prefers ready endpoints of
 // the subset, then any ready endpoint, then any that is not draining, as an endpoint
 // may be wrongly considered unreachable. It returns nil if there is none.
-func (t *Table) Pick(now time.Time, service string, seed uint64, exclude string) *Endpoint {
+func (t *Table) Pick(now time.Time, service string, seed uint64, excluded []string) *Endpoint {
 	s, ok := t.services[service]
 	if !ok {
 		return nil
 	}
-	ready := func(e *Endpoint) bool { return e.Name != exclude && e.ready(now) }
+	ready := func(e *Endpoint) bool { return !slices.Contains(excluded, e.Name) && e.ready(now) }
 	if e := t.pickFrom(now, s.subset, seed, ready); e != nil {
 		return e
 	}
 	if e := t.pickFrom(now, s.all, seed, ready); e != nil {
 		return e
 	}
-	return t.pickFrom(now, s.all, seed, func(e *Endpoint) bool { return e.Name != exclude && !e.Draining })
+	return t.pickFrom(now, s.all, seed, func(e *Endpoint) bool { return !slices.Contains(excluded, e.Name) && !e.Draining })
 }
 
 // crossDomainCostFactor multiplies the cost of endpoints in other domains: traffic
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -21,7 +21,7 @@
 	const calls = 1000
 	got := 0
 	for n := range uint64(calls) {
-		e := t.Pick(now, "s", n*0x9e3779b97f4a7c15, "")
+		e := t.Pick(now, "s", n*0x9e3779b97f4a7c15, nil)
 		if e.Name == name {
 			got++
 		}
