core: a departure by ID covers the instances that started before it

What callers could see: a target that deregistered with a process which had not heard of it was used again after a heartbeat that was 5 s late, and after a restart a later instance with the same ID could stay closed.

Cause: a deregistration names an ID and no start. It counted for 5 s, whatever the start in the heartbeat that followed.

Change: a deregistration is stored with the time of day, and covers the instances with its ID that started before. The 5 s remain for heartbeats without a start.

--- a/core/departure.go
+++ b/core/departure.go
@@ -1,12 +1,17 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Departure records that an instance of the local target has announced that it leaves, or has
 // deregistered. Neither this process of the node nor a later one gives it calls.
 type Departure struct {
 	InstanceID     string `json:"id,omitempty"`    // empty if only the start is known
 	StartUnixMilli int64  `json:"start,omitempty"` // in milliseconds since 1970, 0 if unknown
+	// UnixMilli is when it deregistered, by the time of day, 0 if it has not or that is unknown.
+	UnixMilli int64 `json:"time,omitempty"`
 }
 
 const (
@@ -44,49 +49,42 @@
 	revision uint64
 }
 
-// includes reports whether a heartbeat is from an instance that has departed. An instance
-// that started before one that has departed has ended.
+// includes reports whether a heartbeat is from an instance that has departed.
 func (d *departures) includes(now time.Time, h Heartbeat) bool {
-	for _, e := range d.list {
-		if e.StartUnixMilli != 0 && h.StartUnixMilli != 0 {
-			if h.StartUnixMilli <= e.StartUnixMilli {
-				return true
-			}
-			continue
-		}
-		if e.InstanceID != "" && e.InstanceID == h.InstanceID && now.Sub(e.learned) < lateHeartbeatTime {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.list, func(e departure) bool { return e.covers(now, h) })
 }
 
-// identify completes the departures of a heartbeat's instance ID whose start is unknown: they
-// are of the instance that sent the heartbeat, or of an earlier one.
-func (d *departures) identify(now time.Time, h Heartbeat) {
-	if h.StartUnixMilli == 0 {
-		return
+// covers reports whether a heartbeat is from the instance that departed or from an earlier one:
+// one that started before it, or one with the same ID that started before the departure. The
+// target and its node have the same time of day.
+func (e departure) covers(now time.Time, h Heartbeat) bool {
+	if e.StartUnixMilli != 0 && h.StartUnixMilli != 0 && h.StartUnixMilli <= e.StartUnixMilli {
+		return true
 	}
-	for i := len(d.list) - 1; i >= 0; i-- {
-		e := &d.list[i]
-		if e.StartUnixMilli != 0 || e.InstanceID == "" || e.InstanceID != h.InstanceID {
-			continue
-		}
-		d.revision++
-		if now.Sub(e.learned) < lateHeartbeatTime {
-			e.StartUnixMilli = h.StartUnixMilli
-			continue
-		}
-		d.list = append(d.list[:i], d.list[i+1:]...)
+	switch {
+	case e.InstanceID == "" || e.InstanceID != h.InstanceID:
+		return false
+	case e.UnixMilli != 0 && h.StartUnixMilli != 0:
+		return h.StartUnixMilli <= e.UnixMilli
+	case e.StartUnixMilli != 0 && h.StartUnixMilli != 0:
+		return false
+	default:
+		return now.Sub(e.learned) < lateHeartbeatTime
 	}
 }
 
-// add adds a departure and reports whether it was not known.
+// add adds a departure, or a later time of one. It reports whether that changes the list.
 func (d *departures) add(now time.Time, n Departure) bool {
 	for i := range d.list {
-		if d.list[i].Departure == n {
+		e := &d.list[i]
+		if e.InstanceID != n.InstanceID || e.StartUnixMilli != n.StartUnixMilli {
+			continue
+		}
+		if n.UnixMilli <= e.UnixMilli {
 			return false
 		}
+		e.UnixMilli, e.learned = n.UnixMilli, now
+		return true
 	}
 	if len(d.list) >= MaxDepartures {
 		d.list = append(d.list[:0], d.list[1:]...)
--- a/core/departure_test.go
+++ b/core/departure_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -64,7 +65,7 @@
 
 func (d *departureTest) deregister(id string) AckID {
 	d.lastAck++
-	d.step(&TargetDeregistered{Ack: d.lastAck, InstanceID: id})
+	d.step(&TargetDeregistered{Ack: d.lastAck, InstanceID: id, At: d.now})
 	return d.lastAck
 }
 
@@ -163,75 +164,83 @@
 	d.readStore()
 	d.deregister("a")
 	d.save()
-	d.now = d.now.Add(lateHeartbeatTime)
-	d.heartbeat("a", 9, 1, false)
-	d.step(&Tick{})
-	d.save()
-	d.start()
-	d.readStore()
-	d.heartbeat("a", 9, 2, false)
+	start := d.now.Add(time.Second).UnixMilli()
+	d.now = d.now.Add(2 * time.Second)
+	for range 2 {
+		d.heartbeat("a", start, 1, false)
+		if !d.runs() {
+			t.Error("a call did not run on an instance that started after the departure")
+		}
+		d.start()
+		d.readStore()
+	}
+	d.heartbeat("a", start, 1, false)
 	if !d.runs() {
 		t.Error("a call did not run on an instance that started after the departure")
 	}
 }
 
+// instance is an instance of the target in TestAcknowledgedDeparturesHoldOverRestarts.
+type instance struct {
+	id       string
+	start    int64
+	sequence uint64
+	leaving  []AckID // acknowledgements of its departure
+}
+
+// departureActions are what may happen to the instance that runs, its node and the store.
+var departureActions = map[string]func(t *rapid.T, d *departureTest, i *instance){
+	"beat": func(_ *rapid.T, d *departureTest, i *instance) {
+		if len(i.leaving) == 0 {
+			i.sequence++
+			d.heartbeat(i.id, i.start, i.sequence, false)
+		}
+	},
+	"late": func(t *rapid.T, d *departureTest, i *instance) {
+		d.heartbeat(i.id, i.start, uint64(rapid.IntRange(1, 3).Draw(t, "sequence")), false)
+	},
+	"drain": func(_ *rapid.T, d *departureTest, i *instance) {
+		i.sequence += 4
+		i.leaving = append(i.leaving, d.heartbeat(i.id, i.start, i.sequence, true))
+	},
+	"deregister": func(_ *rapid.T, d *departureTest, i *instance) {
+		i.leaving = append(i.leaving, d.deregister(i.id))
+	},
+	"replace": func(t *rapid.T, d *departureTest, i *instance) {
+		d.now = d.now.Add(2 * time.Millisecond)
+		id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+		*i = instance{id: id, start: d.now.Add(-time.Millisecond).UnixMilli()}
+	},
+	"restart": func(_ *rapid.T, d *departureTest, _ *instance) { d.start() },
+	"read":    func(_ *rapid.T, d *departureTest, _ *instance) { d.readStore() },
+	"save":    func(_ *rapid.T, d *departureTest, _ *instance) { d.save() },
+	"fail":    func(_ *rapid.T, d *departureTest, _ *instance) { d.pending = nil },
+	"tick":    func(_ *rapid.T, d *departureTest, _ *instance) { d.step(&Tick{}) },
+}
+
 // TestAcknowledgedDeparturesHoldOverRestarts plays instances, departures, late heartbeats,
 // restarts and a store that fails in random order. No call may run on an instance whose
 // departure has been acknowledged, and the next instance must be used.
 func TestAcknowledgedDeparturesHoldOverRestarts(t *testing.T) {
+	names := slices.Sorted(maps.Keys(departureActions))
 	rapid.Check(t, func(t *rapid.T) {
-		type instance struct {
-			id       string
-			start    int64
-			sequence uint64
-			leaving  []AckID // acknowledgements of its departure
-		}
 		d := newDepartureTest()
 		d.readStore()
-		current := &instance{id: "i0", start: 1}
-		instances := []*instance{current}
-		departed := func(i *instance) bool {
-			return slices.ContainsFunc(i.leaving, func(id AckID) bool { return d.acked[id] })
-		}
+		current := &instance{id: "a", start: d.now.UnixMilli()}
+		departed := map[int64]bool{} // by the start of the instance
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			d.now = d.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"beat", "late", "drain", "deregister", "replace", "restart", "read", "save", "fail", "tick"}).Draw(t, "action") {
-			case "beat":
-				if len(current.leaving) == 0 {
-					current.sequence++
-					d.heartbeat(current.id, current.start, current.sequence, false)
-				}
-			case "late":
-				d.heartbeat(current.id, current.start, uint64(rapid.IntRange(1, 3).Draw(t, "sequence")), false)
-			case "drain":
-				current.sequence += 4
-				current.leaving = append(current.leaving, d.heartbeat(current.id, current.start, current.sequence, true))
-			case "deregister":
-				current.leaving = append(current.leaving, d.deregister(current.id))
-			case "replace":
-				current = &instance{id: "i" + string(rune('0'+len(instances)%60)), start: current.start + 1}
-				instances = append(instances, current)
-			case "restart":
-				d.start()
-			case "read":
-				d.readStore()
-			case "save":
-				d.save()
-			case "fail":
-				d.pending = nil
-			case "tick":
-				d.step(&Tick{})
+			departureActions[rapid.SampledFrom(names).Draw(t, "action")](t, d, current)
+			for _, id := range current.leaving {
+				departed[current.start] = departed[current.start] || d.acked[id]
 			}
-			if last := d.state.target.last; d.runs() {
-				for _, i := range instances {
-					if i.id == last.InstanceID && departed(i) {
-						t.Fatalf("a call ran on %s, whose departure has been acknowledged", i.id)
-					}
-				}
+			if start := d.state.target.last.StartUnixMilli; d.runs() && departed[start] {
+				t.Fatalf("a call ran on the instance started at %d, whose departure has been acknowledged", start)
 			}
 		}
 		d.readStore()
-		d.heartbeat("next", current.start+1, 1, false)
+		d.now = d.now.Add(2 * time.Millisecond)
+		d.heartbeat(current.id, d.now.UnixMilli(), 1, false)
 		if !d.runs() {
 			t.Fatal("a call did not run on the next instance")
 		}
--- a/core/event.go
+++ b/core/event.go
@@ -195,6 +195,7 @@
 type TargetDeregistered struct {
 	Ack        AckID
 	InstanceID string
+	At         time.Time // time of day at which it arrived, zero if unknown
 }
 
 // DeparturesSaved is the result of a SaveDepartures request that has been carried out.
--- a/core/target.go
+++ b/core/target.go
@@ -79,7 +79,6 @@
 func (s *State) handleHeartbeat(now time.Time, e *HeartbeatReceived) {
 	t, h := &s.target, e.Heartbeat
 	if !t.heartbeatReceived || h.newerThan(t.last) {
-		t.departures.identify(now, h)
 		// A departed instance never becomes available again.
 		t.departed = h.Draining || t.departed && h.StartUnixMilli == t.last.StartUnixMilli || t.departures.includes(now, h)
 		t.last, t.heartbeatReceived = h, true
@@ -93,14 +92,16 @@
 }
 
 func (s *State) handleTargetDeregistered(now time.Time, e *TargetDeregistered) {
-	t := &s.target
-	if !t.heartbeatReceived || t.last.InstanceID != e.InstanceID {
-		s.recordDeparture(now, Departure{InstanceID: e.InstanceID}, e.Ack)
-		return
+	t, d := &s.target, Departure{InstanceID: e.InstanceID}
+	if !e.At.IsZero() {
+		d.UnixMilli = e.At.UnixMilli()
+	}
+	if t.heartbeatReceived && t.last.InstanceID == e.InstanceID {
+		d.StartUnixMilli = t.last.StartUnixMilli
+		t.departed = true
+		s.updateTarget(now)
 	}
-	t.departed = true
-	s.updateTarget(now)
-	s.recordDeparture(now, Departure{InstanceID: e.InstanceID, StartUnixMilli: t.last.StartUnixMilli}, e.Ack)
+	s.recordDeparture(now, d, e.Ack)
 }
 
 // updateTarget updates routing, gate and peers if the target's part of the node's
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -362,6 +362,6 @@
 // done first.
 func (a *Agent) Deregister(ctx context.Context, id string) bool {
 	return a.loop.PostAndAwaitAck(ctx, func(ack core.AckID) core.Event {
-		return &core.TargetDeregistered{Ack: ack, InstanceID: id}
+		return &core.TargetDeregistered{Ack: ack, InstanceID: id, At: time.Now()}
 	})
 }
--- a/io/store/departures.go
+++ b/io/store/departures.go
@@ -62,8 +62,8 @@
 		return nil, fmt.Errorf("%d departures, want at most %d", len(list), core.MaxDepartures)
 	}
 	for _, d := range list {
-		if d.StartUnixMilli < 0 || len(d.InstanceID) > maxInstanceIDBytes {
-			return nil, fmt.Errorf("departure of an instance with an ID of %d bytes that started at %d ms", len(d.InstanceID), d.StartUnixMilli)
+		if d.StartUnixMilli < 0 || d.UnixMilli < 0 || len(d.InstanceID) > maxInstanceIDBytes {
+			return nil, fmt.Errorf("departure of an instance with an ID of %d bytes that started at %d ms and departed at %d ms", len(d.InstanceID), d.StartUnixMilli, d.UnixMilli)
 		}
 	}
 	return list, nil
--- a/io/store/departures_test.go
+++ b/io/store/departures_test.go
@@ -132,7 +132,7 @@
 		t.Fatal(err)
 	}
 	for _, value := range append([]string{
-		`{"id":"a"}`, `[{"id":7}]`, `[{"start":-1}]`, `[{"start":1e999}]`, `[{"start":9223372036854775808}]`,
+		`{"id":"a"}`, `[{"id":7}]`, `[{"start":-1}]`, `[{"time":-1}]`, `[{"start":1e999}]`, `[{"start":9223372036854775808}]`,
 		`[{"id":"` + strings.Repeat("a", maxInstanceIDBytes+1) + `"}]`, string(long),
 	}, oddValues...) {
 		c := newLeaseClient()
