core, internal/relay: late calls of a planned stop end before the process

What callers saw, as other operators report it: requests that came late in the grace of a planned stop were taken, passed on, and cut off without an answer when the process ended.

Change: a draining node gives what it still passes on the end of the drain as the deadline, and waits 200 ms longer for the endpoint's answer; the node beside the endpoint waits 100 ms for it. Once callers are refused, a call whose latency objective no longer fits is refused as not run.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -260,6 +260,7 @@
 	c.route, c.workspace, c.rank, c.atMostOnce = received.Route, received.Workspace, received.Rank, received.AtMostOnce
 	c.service, c.weight = s.self.Service, s.shareWeight(received.Workspace)
 	c.deadline = now.Add(received.Timeout)
+	s.limitToDrain(c)
 	c.budget = retry.NewBudget(received.RetryBudget)
 	c.reportsEnd = !s.plannedAdmission
 	s.setIdempotencyKey(c, received.IdempotencyHash)
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -17,6 +17,11 @@
 // dispatch starts the next attempt of a call at an endpoint other than the given one and
 // those whose target has declined the call.
 func (s *State) dispatch(now time.Time, c *call, exclude string) {
+	s.limitToDrain(c)
+	if s.drainEndsFirst(now, c) {
+		s.refuse(now, c, ReasonDraining)
+		return
+	}
 	e := s.chooseEndpoint(now, c, exclude)
 	if e == nil {
 		s.refuse(now, c, ReasonNoEndpoint)
@@ -56,7 +61,7 @@
 	c.lentRetries = c.budget.Lend()
 	s.emitVerdict(now, c, Verdict{
 		Action: ActionForward, Endpoint: c.endpoint.Name, Address: c.endpoint.NodeAddr,
-		Deadline: c.deadline,
+		Deadline: c.deadline, AttemptEnd: s.endOfAttempt(c),
 		Context: CallContext{
 			Endpoint: c.endpoint.Name, Workspace: c.workspace, Route: c.route, EntryService: s.self.Service, Rank: c.rank,
 			RetryBudget: c.lentRetries, Timeout: c.deadline.Sub(now).Truncate(time.Millisecond), AtMostOnce: c.atMostOnce, IdempotencyHash: c.idempotencyKey.Hash,
@@ -109,6 +114,7 @@
 
 func (s *State) startRun(now time.Time, c *call) {
 	c.phase, c.attemptStart = phaseRunning, now
+	s.limitToDrain(c)
 	c.endpoint.SetLoad(now, s.gate.Stats().LoadRatio())
 	if s.plannedAdmission {
 		s.planning.costEstimator.ObserveStart(now, c.route)
@@ -117,7 +123,7 @@
 		s.runningByRequestID[c.requestID] = c
 	}
 	s.emitVerdict(now, c, Verdict{
-		Action: ActionRun, Endpoint: s.self.Name, Instance: s.target.last.InstanceID, Deadline: c.deadline,
+		Action: ActionRun, Endpoint: s.self.Name, Instance: s.target.last.InstanceID, Deadline: c.deadline, AttemptEnd: s.endOfAttempt(c),
 		Context: CallContext{EntryService: c.entryService, Workspace: c.workspace, Route: c.route, Rank: c.rank, AtMostOnce: c.atMostOnce, IdempotencyHash: c.idempotencyKey.Hash},
 	})
 }
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -79,3 +79,40 @@
 		t.Errorf("a call after another heartbeat got %s, want refuse", v.Action)
 	}
 }
+
+// TestLateCallsOfDrainingNodeEndWithTheDrain guards against calls that are passed on late in a
+// drain and are cut off without an answer when the process ends: children of calls in progress.
+func TestLateCallsOfDrainingNodeEndWithTheDrain(t *testing.T) {
+	const callerGrace, limit, objective = 3 * time.Second, 5 * time.Second, 500 * time.Millisecond
+	m := keylessManifest()
+	for i := range m.Manifest.Routes {
+		m.Manifest.Routes[i].TargetLatency.Duration = objective
+	}
+	now := time.Unix(1000, 0)
+	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
+	s.Step(now, &ManifestStored{Manifest: m})
+	s.Step(now, &MemberStored{Member: testMember(1)})
+	s.Step(now, &CallArrived{Call: 1, Origin: FromNode, RequestID: "a", Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Minute}})
+	s.Step(now, &DrainRequested{CallerGrace: callerGrace, TargetGrace: callerGrace, Limit: limit})
+	arrive := func(at time.Duration, e CallArrived) Verdict {
+		e.Call = CallID(100 + at)
+		e.Route, e.RequestID, e.Timeout = "map", "a.b", time.Minute
+		return s.Step(now.Add(at), &e).Verdicts[0]
+	}
+	child := CallArrived{Origin: FromCallerOrTarget, ParentRequestID: "a"}
+	for _, at := range []time.Duration{callerGrace, callerGrace + time.Second} {
+		v := arrive(at, child)
+		if v.Action != ActionForward && v.Action != ActionRun {
+			t.Fatalf("a child at %s got %s, reason %s; want forward or run", at, v.Action, v.Reason)
+		}
+		if end := v.AttemptEnd.Sub(now); end >= limit || !v.Deadline.Before(v.AttemptEnd) {
+			t.Errorf("a child at %s: its target works until %s and the attempt ends at %s; want both before %s and the first one first", at, v.Deadline.Sub(now), end, limit)
+		}
+	}
+	if v := arrive(limit-objective, child); v.Action != ActionRefuse || v.Reason != ReasonDraining || v.Executed != ExecutedNo || v.RetryAfter == 0 {
+		t.Errorf("a child that cannot be answered before the end got %+v; want a refusal with reason draining and ran=no", v)
+	}
+	if v := arrive(callerGrace-time.Millisecond, CallArrived{Origin: FromCallerOrTarget}); v.AttemptEnd.Sub(now) >= limit {
+		t.Errorf("the attempt of a call from a caller ends at %s, want it before %s", v.AttemptEnd.Sub(now), limit)
+	}
+}
--- a/core/event.go
+++ b/core/event.go
@@ -125,6 +125,8 @@
 	// TargetGrace is how long the local target still receives calls from other
 	// nodes.
 	TargetGrace time.Duration
+	// Limit is the time after which the calls in progress are cut off, 0 for no limit.
+	Limit time.Duration
 }
 
 // LeaseHeld reports that the store lease is guaranteed to be held until the given
--- a/core/membership.go
+++ b/core/membership.go
@@ -324,35 +324,6 @@
 	s.addNotice(Notice{Kind: kind, Peer: name})
 }
 
-// startDrain starts the node's removal from the fleet. Its shards and idempotency records go
-// to other nodes at once. Its target stays in use for TargetGrace, as the calls that are
-// still accepted from callers keep the process running anyway.
-func (s *State) startDrain(now time.Time, e *DrainRequested) {
-	if s.self.Draining {
-		return
-	}
-	if e.CallerGrace > 0 {
-		s.acceptUntil = now.Add(e.CallerGrace)
-	}
-	s.self.Draining = true
-	s.targetOpenUntil = now.Add(e.TargetGrace)
-	if e.TargetGrace > 0 {
-		s.announce()
-		s.syncAllPeers(now)
-	} else {
-		s.closeTarget(now)
-	}
-	s.releaseAllShards()
-	s.handOverRecords()
-	s.addNotice(Notice{Kind: NoticeDrainStarted})
-}
-
-// closeTarget stops sending calls to the target of a draining node.
-func (s *State) closeTarget(now time.Time) {
-	s.target.closedByDrain = true
-	s.updateTarget(now)
-}
-
 // syncAllPeers sends a Sync to every peer.
 func (s *State) syncAllPeers(now time.Time) {
 	for _, p := range s.peers.All() {
--- a/core/state.go
+++ b/core/state.go
@@ -70,6 +70,7 @@
 	startAnnounced      bool
 	acceptUntil         time.Time // end of accepting calls from callers while draining, zero if unlimited
 	targetOpenUntil     time.Time // end of sending calls to the local target while draining
+	drainEnd            time.Time // end of all calls while draining, zero if unlimited
 	plannedAdmission    bool
 	target              targetState
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -256,7 +256,7 @@
 	defer cancel()
 	a.Logger.Info("leaving", "grace", a.ListenerGrace, "limit", a.DrainTimeout)
 	a.draining.Store(true)
-	a.loop.Post(&core.DrainRequested{CallerGrace: a.CallerGrace, TargetGrace: a.TargetGrace})
+	a.loop.Post(&core.DrainRequested{CallerGrace: a.CallerGrace, TargetGrace: a.TargetGrace, Limit: a.DrainTimeout})
 	time.Sleep(a.ListenerGrace)
 	err := a.stopListeners(ctx)
 	revokeCtx, cancelRevoke := context.WithTimeout(context.Background(), leaseRevokeTimeout)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -119,7 +119,7 @@
 // attempt makes one attempt and reports whether the control loop will send a further
 // verdict.
 func (x *exchange) attempt(v core.Verdict) bool {
-	ctx, cancel := context.WithTimeout(x.ctx, v.Deadline.Sub(x.Clock.Now()))
+	ctx, cancel := context.WithTimeout(x.ctx, v.AttemptEnd.Sub(x.Clock.Now()))
 	x.cancelAttempt = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // discardResponse or writeResponse closes it
 	if err != nil {
