internal/sidecar: heads of heartbeats, probes and metrics requests are bounded

What callers could see: requests cut off as the node runs out of memory, if a faulty endpoint opens many connections to the heartbeat address and sends heads without end.

Change: 16 KiB.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -47,6 +47,8 @@
 	// sixth. It counts requests that were sent later.
 	callerGraceRatio  = 0.45
 	readHeaderTimeout = 5 * time.Second
+	// maxLocalHeaderBytes limits the heads of heartbeats, probes and requests for metrics.
+	maxLocalHeaderBytes = 16 << 10
 	// Fractions of the descriptors of the process; see descriptorShares.
 	callerDescriptorRatio = 0.35
 	nodeDescriptorRatio   = 0.25
@@ -143,7 +145,7 @@
 }
 
 func server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxLocalHeaderBytes}
 }
 
 func metricsHandler() http.Handler {
