--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -58,65 +58,77 @@
 	}
 }
 
+const (
+	endlessClients = 6               // of each kind for each response and service
+	leaveAfter     = 2 * time.Second // of a client
+)
+
+// callEndless sends a request whose response does not end. The client reads until it leaves, or
+// reads nothing.
+func (d *deployment) callEndless(service string, response, client int, reads bool) {
+	kept := &http.Transport{}
+	defer kept.CloseIdleConnections()
+	id := fmt.Sprintf("e%s-%d-%d-%v", service, response, client, reads)
+	res, err := kept.RoundTrip(d.request(0, service, id, fmt.Sprintf("/endless/%d", response)))
+	if err != nil {
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusServiceUnavailable && response != len(endlessResponses)-1 {
+		d.t.Errorf("response %d: a request that its endpoint has taken was refused as not run", response)
+	}
+	end := time.Now().Add(leaveAfter)
+	for buffer := make([]byte, 32<<10); reads && err == nil && time.Now().Before(end); {
+		_, err = res.Body.Read(buffer)
+	}
+	time.Sleep(time.Until(end))
+}
+
+// callSound sends requests that its endpoint answers until done, and returns how many were
+// served.
+func (d *deployment) callSound(client int, done <-chan struct{}) int {
+	served := 0
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return served
+		case <-time.After(20 * time.Millisecond):
+		}
+		res, err := http.DefaultTransport.RoundTrip(d.request(0, services[client%2], fmt.Sprintf("s%d-%d", client, n), "/1/0"))
+		if err != nil {
+			d.t.Errorf("a sound request got no answer: %v", err)
+			return served
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+}
+
 // TestEndlessResponsesLeaveOtherCallersServed guards against bytes without end of a faulty
 // endpoint that a node keeps: it would run out of memory, and the requests of other clients
 // would end with it. Clients that read nothing, that read until they leave, and sound requests
 // run at the same time.
 func TestEndlessResponsesLeaveOtherCallersServed(t *testing.T) {
-	const (
-		clientsEach = 6               // clients of each kind for each response
-		leaveAfter  = 2 * time.Second // of a client that reads
-		maxRSS      = memoryMiB << 20
-	)
 	d := &deployment{t: t, network: 2}
 	d.start(serveEndless)
-	var group sync.WaitGroup
-	call := func(service string, n, client int, reads bool) {
-		kept := &http.Transport{}
-		defer kept.CloseIdleConnections()
-		res, err := kept.RoundTrip(d.request(0, service, fmt.Sprintf("e%s-%d-%d-%v", service, n, client, reads), fmt.Sprintf("/endless/%d", n)))
-		if err != nil {
-			return
-		}
-		defer func() { _ = res.Body.Close() }()
-		if res.StatusCode == http.StatusServiceUnavailable && n != len(endlessResponses)-1 {
-			t.Errorf("response %d: a request that its endpoint has taken was refused as not run", n)
-		}
-		end := time.Now().Add(leaveAfter)
-		for buffer := make([]byte, 32<<10); reads && err == nil && time.Now().Before(end); {
-			_, err = res.Body.Read(buffer)
-		}
-		time.Sleep(time.Until(end))
-	}
+	var endless, sound sync.WaitGroup
 	for n := range endlessResponses {
-		for client := range clientsEach {
+		for client := range endlessClients {
 			for _, service := range services {
-				group.Go(func() { call(service, n, client, false) })
-				group.Go(func() { call(service, n, client, true) })
+				endless.Go(func() { d.callEndless(service, n, client, false) })
+				endless.Go(func() { d.callEndless(service, n, client, true) })
 			}
 		}
 	}
-	var done atomic.Bool
-	var sound sync.WaitGroup
+	done := make(chan struct{})
 	var served atomic.Int64
 	for client := range 4 {
-		sound.Go(func() {
-			for n := 0; !done.Load(); n++ {
-				res, err := http.DefaultTransport.RoundTrip(d.request(0, services[client%2], fmt.Sprintf("s%d-%d", client, n), "/1/0"))
-				if err != nil {
-					t.Errorf("a sound request got no answer: %v", err)
-					return
-				}
-				_ = res.Body.Close()
-				if res.StatusCode == http.StatusOK {
-					served.Add(1)
-				}
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
+		sound.Go(func() { served.Add(int64(d.callSound(client, done))) })
 	}
-	group.Wait()
-	done.Store(true)
+	endless.Wait()
+	close(done)
 	sound.Wait()
 	for i, p := range d.processes {
 		_, peak, err := p.Usage()
@@ -124,7 +136,7 @@
 			t.Fatal(err)
 		}
 		t.Logf("peak memory of node %d: %d MiB", i, peak>>20)
-		if peak > maxRSS {
+		if peak > memoryMiB<<20 {
 			t.Errorf("node %d used %d MiB, want at most %d", i, peak>>20, memoryMiB)
 		}
 	}
