core: the comment of handleHeartbeat says what it does

Since departures are a list, a heartbeat of a departed instance is applied and does not open the target; the comment still said that it is ignored.

--- a/core/target.go
+++ b/core/target.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// handleHeartbeat ignores a heartbeat that arrives after a later one or after its
-// instance has departed.
+// handleHeartbeat applies a heartbeat unless a later one has arrived. One of an instance that
+// has departed does not make the target available.
 func (s *State) handleHeartbeat(now time.Time, e *HeartbeatReceived) {
 	t, h := &s.target, e.Heartbeat
 	if !t.heartbeatReceived || h.newerThan(t.last) {
