internal/loopback: each run of a test or experiment has addresses of its own

Scripts, demo, bench, TestSeed and the soak listened on fixed loopback addresses, so that a second run on the same machine failed with "address already in use". The soak's seed no longer chooses the addresses; faults and requests follow from it as before.

--- a/cmd/bench/sidecar.go
+++ b/cmd/bench/sidecar.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/loopback"
 	"celeryshelf/internal/soak"
 )
 
@@ -39,8 +40,13 @@
 	if err != nil {
 		return Result{}, err
 	}
+	network, err := loopback.Reserve()
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = network.Release() }()
 	ctx, cancel := context.WithCancel(ctx)
-	f := soak.NewFleet(dir, program, sidecarNodes, r.Seed, &soak.History{})
+	f := soak.NewFleet(dir, program, sidecarNodes, network, &soak.History{})
 	defer f.Stop()
 	defer cancel()
 	if err := f.Start(ctx); err != nil {
--- a/cmd/bench/testbed.go
+++ b/cmd/bench/testbed.go
@@ -13,6 +13,7 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/command"
 	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/loopback"
 	"celeryshelf/internal/standin"
 	"celeryshelf/io/etcd"
 	"celeryshelf/io/operator"
@@ -39,10 +40,6 @@
 	bucketFillTime = 3 * time.Second
 )
 
-// lastNetwork is the second octet of the last testbed's loopback addresses. Every
-// testbed of a run gets its own.
-var lastNetwork byte = 100
-
 // testbedConfig configures a testbed. keepDir, if set, receives the settings and logs
 // of the processes; otherwise they go to a temporary directory.
 type testbedConfig struct {
@@ -58,6 +55,7 @@
 // testbed runs a deployment as separate processes on loopback.
 type testbed struct {
 	testbedConfig
+	network         *loopback.Network // nil until the addresses have been assigned
 	dir             string
 	binaries        fleet.Binaries
 	plan            fleet.Plan
@@ -97,14 +95,16 @@
 	if err != nil {
 		return err
 	}
-	lastNetwork++
+	if l.network, err = loopback.Reserve(); err != nil {
+		return err
+	}
 	if l.leaseTTL == 0 {
 		l.leaseTTL = time.Minute
 	}
 	if l.drainGrace == 0 {
 		l.drainGrace = 2 * time.Second
 	}
-	l.plan = fleet.NewPlan(l.deployment, fleet.Options{Network: lastNetwork, LeaseTTL: l.leaseTTL, DrainGrace: l.drainGrace})
+	l.plan = fleet.NewPlan(l.deployment, fleet.Options{Network: l.network, LeaseTTL: l.leaseTTL, DrainGrace: l.drainGrace})
 	l.client = etcd.NewClient(etcd.Config{Addresses: []netip.AddrPort{l.plan.Store}})
 	return nil
 }
@@ -327,6 +327,9 @@
 			_ = p.Wait(stopTimeout)
 		}
 	}
+	if l.network != nil {
+		_ = l.network.Release()
+	}
 	if l.keepDir == "" {
 		_ = os.RemoveAll(l.dir)
 	}
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -18,13 +18,13 @@
 
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/loopback"
 	"celeryshelf/internal/standin"
 	"celeryshelf/io/etcd"
 	"celeryshelf/io/store"
 )
 
 const (
-	demoNetwork  = 77    // second octet of the demo's loopback addresses
 	demoRate     = 150.0 // calls per second
 	demoLease    = 10 * time.Second
 	demoGrace    = 1 * time.Second
@@ -83,7 +83,12 @@
 func (d *demo) run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	d.plan = fleet.NewPlan(d.deployment, fleet.Options{Network: demoNetwork, LeaseTTL: demoLease, DrainGrace: demoGrace})
+	network, err := loopback.Reserve()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = network.Release() }()
+	d.plan = fleet.NewPlan(d.deployment, fleet.Options{Network: network, LeaseTTL: demoLease, DrainGrace: demoGrace})
 	local, err := fleet.StartInProcess(ctx, d.plan, d.logs)
 	if err != nil {
 		return err
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/examples"
 	"celeryshelf/internal/document"
+	"celeryshelf/internal/loopback"
 	"celeryshelf/internal/settings"
 	"celeryshelf/internal/standin"
 )
@@ -110,7 +111,7 @@
 
 // Options configure a plan.
 type Options struct {
-	Network    byte          // second octet of the loopback addresses
+	Network    *loopback.Network
 	LeaseTTL   time.Duration // of the nodes' store leases
 	DrainGrace time.Duration // from the start of draining until a node stops accepting callers
 	WarmUp     time.Duration // after a target's start, in which it is slow
@@ -120,7 +121,7 @@
 // distributes the domains in turn.
 func NewPlan(d Deployment, o Options) Plan {
 	at := func(service, endpoint byte, port uint16) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, o.Network, service, endpoint}), port)
+		return netip.AddrPortFrom(o.Network.Addr(service, endpoint), port)
 	}
 	p := Plan{Store: at(0, 1, portStore)}
 	n := 0
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,7 @@
 
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/fleet"
+	"celeryshelf/internal/loopback"
 	"celeryshelf/internal/settings"
 	"celeryshelf/platform/standin"
 )
@@ -90,16 +91,9 @@
 	wg              sync.WaitGroup
 }
 
-// networkCount is the number of distinct loopback networks: 100 second octets times 250
-// third octets. The seed selects one, so that concurrent runs do not share addresses.
-const networkCount = 100 * 250
-
-// NewFleet assigns loopback addresses to n VMs in the network selected by the seed.
-func NewFleet(dir, nodeBinary string, n int, seed uint64, h *History) *Fleet {
-	run := seed % networkCount
-	host := func(last int) netip.Addr {
-		return netip.AddrFrom4([4]byte{127, byte(100 + run%100), byte(run / 100), byte(last)})
-	}
+// NewFleet assigns addresses of the network to n VMs.
+func NewFleet(dir, nodeBinary string, n int, network *loopback.Network, h *History) *Fleet {
+	host := func(last int) netip.Addr { return network.Addr(0, byte(last)) }
 	f := &Fleet{storeAddr: netip.AddrPortFrom(host(1), portStore), dir: dir, nodeBinary: nodeBinary, history: h, store: standin.NewStore(), keys: map[string]string{}}
 	for i := range n {
 		v := &vm{
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"celeryshelf/internal/loopback"
 )
 
 // startEchoServer starts a server that sends back what it reads.
@@ -31,9 +33,14 @@
 // startLink starts a link to an echo server and returns a function that dials it. Each test
 // needs an address of its own: a link that is being closed may still accept connections for
 // a moment.
-func startLink(t *testing.T, listen string) (*Link, func() net.Conn) {
+func startLink(t *testing.T, host byte) (*Link, func() net.Conn) {
 	t.Helper()
-	l := NewLink(netip.MustParseAddrPort(listen), startEchoServer(t))
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = network.Release() })
+	l := NewLink(netip.AddrPortFrom(network.Addr(0, host), 8080), startEchoServer(t))
 	go func() { _ = l.Run(t.Context()) }()
 	return l, func() net.Conn {
 		for range 100 {
@@ -61,7 +68,7 @@
 // TestLinkModesForwardOrBlock guards against faults that have no effect, and against modes
 // that remain in force after the next one is set.
 func TestLinkModesForwardOrBlock(t *testing.T) {
-	l, dial := startLink(t, "127.105.7.9:8080")
+	l, dial := startLink(t, 9)
 	for _, tt := range []struct {
 		mode Mode
 		want bool
@@ -76,7 +83,7 @@
 // TestSilencedConnectionsStaySilent guards against silencing that does not last on open
 // connections or that affects new ones.
 func TestSilencedConnectionsStaySilent(t *testing.T) {
-	l, dial := startLink(t, "127.105.7.10:8080")
+	l, dial := startLink(t, 10)
 	old := dial()
 	if !echoes(old) {
 		t.Fatal("no echo before SilenceOpenConns")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"time"
+
+	"celeryshelf/internal/loopback"
 )
 
 // Config describes a run.
@@ -22,9 +24,14 @@
 // Run runs the fleet under load and injects the faults that the seed determines. It returns
 // the violated guarantees, as History.Check reports them.
 func Run(ctx context.Context, c Config) ([]string, error) {
+	network, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = network.Release() }()
 	ctx, cancel := context.WithCancel(ctx)
 	h := &History{}
-	f := NewFleet(c.Dir, c.NodeBinary, c.Nodes, c.Seed, h)
+	f := NewFleet(c.Dir, c.NodeBinary, c.Nodes, network, h)
 	defer f.Stop()
 	defer cancel()
 	if err := f.Start(ctx); err != nil {
