--- a/cmd/celeryshelf/main.go
+++ b/cmd/celeryshelf/main.go
@@ -7,10 +7,11 @@
 	"os"
 
 	"celeryshelf/internal/command"
+	"celeryshelf/platform"
 )
 
 func main() {
-	err := command.New(os.Stdout).Run(context.Background(), os.Args)
+	err := command.New(command.Config{Output: os.Stdout, Platform: platform.ConfigDecoder{}}).Run(context.Background(), os.Args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/core/manifest/validate.go
+++ b/core/manifest/validate.go
@@ -80,6 +80,9 @@
 
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
+// Methods returns the methods that a route can be limited to.
+func Methods() []string { return slices.Clone(methods) }
+
 func (v *validator) checkRoutes(list []Route, services map[string]bool) {
 	names := map[string]bool{}
 	patterns := map[string]bool{}
--- a/core/manifest/violation.go
+++ b/core/manifest/violation.go
@@ -19,8 +19,8 @@
 
 // Violation is a broken rule with the location in the document that breaks it.
 type Violation struct {
-	Path string // JSON pointer
-	Rule string
+	Path string `json:"path"` // JSON pointer
+	Rule string `json:"rule"`
 }
 
 // Error returns the path and the rule.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -25,10 +25,18 @@
 const (
 	exitFailed  = 1 // the command failed
 	exitInvalid = 2 // the arguments or a file are invalid; nothing was changed
+	exitWarned  = 3 // check --strict has found warnings
 )
 
-// New returns the root command. It prints results to out.
-func New(out io.Writer) *cli.Command {
+// Config holds the dependencies of the commands.
+type Config struct {
+	Output   io.Writer       // receives the results
+	Platform ManifestDecoder // decodes configurations in the platform's format
+}
+
+// New returns the root command.
+func New(config Config) *cli.Command {
+	out := config.Output
 	return &cli.Command{
 		Name:                  "celeryshelf",
 		Usage:                 "overload control for service call graphs",
@@ -36,7 +44,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			nodeCommand(), checkCommand(out), applyCommand(out), statusCommand(out),
+			nodeCommand(), checkCommand(config), applyCommand(out), statusCommand(out),
 			drainCommand(out), schemaCommand(out), digestCommand(out), demoCommand(out), versionCommand(out),
 		},
 	}
@@ -60,6 +68,8 @@
 	switch {
 	case err == nil:
 		return 0
+	case errors.Is(err, errWarned):
+		return exitWarned
 	case errors.As(err, &invalid), errors.As(err, &usage):
 		return exitInvalid
 	default:
@@ -142,23 +152,6 @@
 	}
 }
 
-func checkCommand(out io.Writer) *cli.Command {
-	return &cli.Command{
-		Name:      "check",
-		Usage:     "validate a manifest and list every violation",
-		ArgsUsage: "FILE",
-		Action: func(_ context.Context, c *cli.Command) error {
-			m, err := manifestArgument(c)
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(out, "%s: ok, %d workspaces, %d services, %d routes\n",
-				c.Args().First(), len(m.Workspaces), len(m.Services), len(m.Routes))
-			return err
-		},
-	}
-}
-
 func schemaCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:      "schema",
