core: evacuation of a failure domain

Missing: an operator could not take a failure domain out of use; only single nodes can drain.

Change: core/evacuation holds the set of evacuated domains at a revision of the store, and the rule that a set is replaced only by one of a higher revision, so that absence in a later read is a deletion. The reducer gets the set from the store (EvacuationsStored) and from peers (Sync, Confirmation), passes changes on at once, closes the gate of a target in an evacuated domain, refuses its queued calls as redirects, takes such targets out of every choice, and counts their capacity as zero in the plan. A starting node keeps its target closed until it knows a recent set, or until Settings.Evacuation has passed. Without that setting no message and no decision changes.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -79,6 +79,10 @@
 }
 
 func (s *State) enterGate(now time.Time, c *call) {
+	if s.evacuated(s.self.Domain) {
+		s.handleGateRejection(now, c, ReasonDraining)
+		return
+	}
 	offered := admit.Call{
 		ID: uint64(c.id), Workspace: c.workspace, Weight: c.weight,
 		Rank: c.rank, Deadline: c.deadline, ExpectedTime: s.expectedDuration(c.route),
--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -96,7 +96,10 @@
 // confirmation returns the answer to a message that a peer sent at the given uptime of its
 // own.
 func (s *State) confirmation(now time.Time, requesterUptime time.Duration) Confirmation {
-	return Confirmation{RequesterUptime: requesterUptime, Version: s.manifestVersion(), Age: now.Sub(s.manifestConfirmedAt)}
+	return Confirmation{
+		RequesterUptime: requesterUptime, Version: s.manifestVersion(), Age: now.Sub(s.manifestConfirmedAt),
+		Evacuations: s.evacuationsMessage(now),
+	}
 }
 
 // handleConfirmation applies the answer to a message that this node sent at the uptime that
@@ -109,6 +112,7 @@
 	s.confirmationHeardAt = now
 	s.advanceConfirmedAt(m.Version, s.started.Add(m.RequesterUptime-m.Age))
 	s.hearOfManifest(now, from, m.Version)
+	s.confirmEvacuations(now, m)
 }
 
 // manifestStale reports whether the last confirmation of the manifest is so old that one of
--- a/core/effect.go
+++ b/core/effect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryshelf/core/admit"
+	"celeryshelf/core/evacuation"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
@@ -194,6 +195,8 @@
 	NoticeMemberRejected
 	NoticeMessageRejected
 	NoticeDepartureRecalled
+	NoticeEvacuationStarted
+	NoticeEvacuationEnded
 )
 
 // Notice is an event for the operators' log.
@@ -203,4 +206,6 @@
 	Shard   quota.Shard
 	Version uint64
 	Detail  string
+	// Evacuation is set in notices on evacuations.
+	Evacuation evacuation.Domain
 }
--- a/core/elected_fleet_test.go
+++ b/core/elected_fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"celeryshelf/core/evacuation"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/quota"
@@ -29,12 +30,17 @@
 	verifies int
 	claims   int
 	messages int
+
+	evacuation time.Duration     // Settings.Evacuation of all nodes
+	revision   uint64            // of the store
+	evacuated  map[string]uint64 // by domain: revision of its key
 }
 
 type electedNode struct {
 	*State
 	watching bool
 	cut      bool // cut off from the store
+	isolated bool // cut off from the store and from all peers
 	dead     bool
 }
 
@@ -55,7 +61,14 @@
 }
 
 func newElectedFleet(t *testing.T, domains, perDomain int) *electedFleet {
+	return newEvacuationFleet(t, domains, perDomain, 0)
+}
+
+// newEvacuationFleet returns a fleet in which domains can be evacuated if the bound is not 0.
+func newEvacuationFleet(t *testing.T, domains, perDomain int, bound time.Duration) *electedFleet {
 	f := &electedFleet{
+		evacuation: bound, revision: 1, evacuated: map[string]uint64{},
+
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(3, 4)), byName: map[string]*electedNode{},
 		stored: electedManifest(1), records: map[quota.Shard]string{},
 	}
@@ -68,7 +81,7 @@
 		})
 	}
 	for i, m := range members {
-		n := &electedNode{State: New(Settings{Self: m, RandomSeed: uint64(i), PlannedAdmission: true, ElectWatchers: true, MaxStaleness: electedStaleness})}
+		n := f.newNode(m, uint64(i))
 		f.nodes = append(f.nodes, n)
 		f.byName[m.Name] = n
 		f.start(n, members)
@@ -76,6 +89,12 @@
 	return f
 }
 
+func (f *electedFleet) newNode(self member.Member, seed uint64) *electedNode {
+	return &electedNode{State: New(Settings{
+		Self: self, RandomSeed: seed, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: electedStaleness, Evacuation: f.evacuation,
+	})}
+}
+
 // start lets a node begin its work at a random time within 300 ms.
 func (f *electedFleet) start(n *electedNode, members []member.Member) {
 	f.after(time.Duration(f.random.IntN(300))*time.Millisecond, func() {
@@ -95,7 +114,7 @@
 		self := old.self
 		self.Incarnation, self.Revision, self.ManifestVersion = self.Incarnation+1, 1, 0
 		old.dead = true
-		n := &electedNode{State: New(Settings{Self: self, RandomSeed: uint64(i + 1000), PlannedAdmission: true, ElectWatchers: true, MaxStaleness: electedStaleness})}
+		n := f.newNode(self, uint64(i+1000))
 		f.nodes[i], f.byName[self.Name] = n, n
 		f.start(n, members)
 	}
@@ -134,8 +153,11 @@
 		to := f.byName[m.To]
 		from, body := n.self.Name, m.Body
 		f.after(electedHop, func() {
-			f.step(to, &MessageReceived{From: from, Body: body})
-			f.step(n, &PeerReachability{Name: to.self.Name, Reachable: !to.dead})
+			lost := n.isolated || to.isolated
+			if !lost {
+				f.step(to, &MessageReceived{From: from, Body: body})
+			}
+			f.step(n, &PeerReachability{Name: to.self.Name, Reachable: !to.dead && !lost})
 		})
 	}
 	for _, r := range effects.StoreRequests {
@@ -143,7 +165,9 @@
 	}
 }
 
-func (f *electedFleet) reaches(n *electedNode) bool { return !f.away && !n.cut && !n.dead }
+func (f *electedFleet) reaches(n *electedNode) bool {
+	return !f.away && !n.cut && !n.dead && !n.isolated
+}
 
 func (f *electedFleet) request(n *electedNode, r StoreRequest) {
 	switch r := r.(type) {
@@ -167,6 +191,9 @@
 	if f.reaches(n) {
 		f.step(n, &ManifestStored{Manifest: f.stored})
 		f.step(n, &ManifestConfirmed{Version: f.stored.Version, At: at})
+		if f.evacuation > 0 {
+			f.step(n, &EvacuationsStored{Set: evacuation.NewSet(f.revision, f.evacuated), At: at})
+		}
 	}
 }
 
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryshelf/core/admit"
+	"celeryshelf/core/evacuation"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
@@ -205,6 +206,12 @@
 	Revision uint64 // of the request
 }
 
+// EvacuationsStored reports the evacuated domains in the store.
+type EvacuationsStored struct {
+	Set evacuation.Set
+	At  time.Time // taken before the store was queried, zero if a watch reported a change
+}
+
 // MemberStored reports that the store holds a member's announcement.
 type MemberStored struct {
 	Member member.Member
@@ -259,6 +266,7 @@
 func (*ManifestConfirmed) event()  {}
 func (*HeartbeatReceived) event()  {}
 func (*TargetDeregistered) event() {}
+func (*EvacuationsStored) event()  {}
 func (*MemberStored) event()       {}
 func (*MemberDeleted) event()      {}
 func (*ShardStored) event()        {}
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -14,6 +14,8 @@
 		Self:    s.self,
 		Uptime:  now.Sub(s.started),
 		Members: s.peers.NextGossip(limit, others),
+
+		Evacuations: s.evacuationsMessage(now),
 	}
 }
 
--- a/core/membership.go
+++ b/core/membership.go
@@ -69,6 +69,7 @@
 		s.closeTarget(now)
 	}
 	s.expireRecall(now)
+	s.pursueEvacuations(now)
 	s.saveDepartures(now)
 	s.expireAckWaits(now)
 	s.tickTokens(now)
@@ -196,6 +197,7 @@
 	joined := s.mergeMember(now, m.Self)
 	s.comparePeerClock(now, m.Self.Name, m.Uptime)
 	s.peers.SetManifestVersion(m.Self.Name, m.Self.ManifestVersion)
+	s.mergeEvacuations(now, m.Evacuations)
 	s.sendConfirmation(now, m.Self.Name, m.Uptime)
 	for _, o := range m.Members {
 		s.mergeMember(now, o)
--- a/core/message.go
+++ b/core/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"celeryshelf/core/evacuation"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
@@ -20,6 +21,15 @@
 	Self    member.Member   `json:"self"`
 	Uptime  time.Duration   `json:"clock"` // time since the sender's process started
 	Members []member.Member `json:"members,omitempty"`
+	// Evacuations is left out if the sender knows of none. Its Age is of no use in a Sync.
+	Evacuations *Evacuations `json:"evac,omitempty"`
+}
+
+// Evacuations carries the evacuated domains, and for how long the sender has not known that
+// they are the newest in the store.
+type Evacuations struct {
+	evacuation.Set
+	Age time.Duration `json:"age"` // see Confirmation.Age
 }
 
 // Confirmation answers a Sync and is part of the answer to a Report. It states that
@@ -30,6 +40,7 @@
 	RequesterUptime time.Duration `json:"clock"` // Uptime of the Sync or Report that is answered
 	Version         uint64        `json:"version"`
 	Age             time.Duration `json:"age"`
+	Evacuations     *Evacuations  `json:"evac,omitempty"` // left out if the sender knows of none
 }
 
 // Report carries one node's demand, load and call costs to the planner.
--- a/core/names.go
+++ b/core/names.go
@@ -56,6 +56,7 @@
 	NoticeTargetAvailable:  "target-opened", NoticeTargetUnavailable: "target-closed", NoticePlanUpdated: "planned",
 	NoticeMemberRejected: "member-refused", NoticeMessageRejected: "message-refused",
 	NoticeDepartureRecalled: "departure-recalled",
+	NoticeEvacuationStarted: "evacuation-started", NoticeEvacuationEnded: "evacuation-ended",
 }
 
 // String returns the notice's name in logs.
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -87,6 +87,14 @@
 	p.reports[node] = timedReport{Report: r.valid(), receivedAt: now}
 }
 
+// SetEvacuated removes the target of a node from the capacity, until the node's next report.
+func (p *Planner) SetEvacuated(node string) {
+	if r, ok := p.reports[node]; ok && r.Load.Service != "" {
+		r.Load = Load{Service: r.Load.Service, Evacuated: true}
+		p.reports[node] = r
+	}
+}
+
 // Plan returns the last plan. Calls that are not in it are admitted without restriction.
 func (p *Planner) Plan() []AdmitRatio { return p.plan }
 
@@ -250,7 +258,9 @@
 	for service := range out {
 		t := p.serviceLoad(service)
 		if t.Slots <= 0 {
-			delete(out, service)
+			if !t.Evacuated {
+				delete(out, service)
+			}
 			continue
 		}
 		trim, ok := p.trim[service]
@@ -283,6 +293,7 @@
 			t.Slots += r.Load.Slots
 			t.Busy += r.Load.Busy
 			t.Queued += r.Load.Queued
+			t.Evacuated = t.Evacuated || r.Load.Evacuated
 		}
 	}
 	return t
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -21,6 +21,10 @@
 	Slots   float64 `json:"slots"`  // maximum number of concurrent calls
 	Busy    float64 `json:"busy"`   // mean number of running calls
 	Queued  float64 `json:"queued"` // mean number of queued calls
+	// Evacuated is set, and the numbers are 0, if the target's domain is evacuated. A service
+	// all of whose targets are evacuated has no capacity, while the capacity of one without
+	// any reported target is unknown.
+	Evacuated bool `json:"evac,omitempty"`
 }
 
 // Report is what one node sends to the planner.
--- a/core/planning.go
+++ b/core/planning.go
@@ -97,7 +97,10 @@
 	s.accumulateLoad(now)
 	p.costEstimator.Decay(elapsed)
 	r := plan.Report{Demand: p.demandMeter.CloseWindow(now), Costs: p.costEstimator.Costs()}
-	if !s.self.TargetClosed {
+	switch {
+	case s.evacuated(s.self.Domain):
+		r.Load = plan.Load{Service: s.self.Service, Evacuated: true}
+	case !s.self.TargetClosed:
 		r.Load = plan.Load{
 			Service: s.self.Service, Slots: float64(s.gate.Limit()),
 			Busy: p.busySlotSeconds / elapsed.Seconds(), Queued: p.queuedSlotSeconds / elapsed.Seconds(),
@@ -198,7 +201,11 @@
 
 // handleReport passes another node's report to the planner and answers with the plan.
 func (s *State) handleReport(now time.Time, from string, m *Report) {
-	s.planner(now).SetReport(now, from, m.Report)
+	r := m.Report
+	if p, ok := s.peers.Get(from); ok && s.evacuated(p.Domain) {
+		r.Load = plan.Load{Service: p.Service, Evacuated: true} // the node may not know it yet
+	}
+	s.planner(now).SetReport(now, from, r)
 	s.updatePlan(now)
 	s.send(from, &Plan{Confirmation: s.confirmation(now, m.Uptime), AdmitRatios: s.planner(now).Plan()})
 }
--- a/core/state.go
+++ b/core/state.go
@@ -37,6 +37,9 @@
 	// to be the newest version. If it is 0, defaultMaxStaleness applies, but only while the
 	// store is unreachable and the node has peers.
 	MaxStaleness time.Duration
+	// Evacuation is the time after which no call may reach the targets of an evacuated domain,
+	// 0 if domains cannot be evacuated.
+	Evacuation time.Duration
 }
 
 // State holds everything that the decisions of one node depend on.
@@ -78,6 +81,7 @@
 	watch        watch
 	roles        roles
 	distribution distribution
+	evacuation   evacuationState
 
 	shardOwner       *quota.Owner
 	tokenPool        *quota.TokenPool
@@ -115,7 +119,8 @@
 		advertisedOwners:   map[quota.Shard]string{},
 		claimWaitSince:     map[quota.Shard]time.Time{},
 		maxStaleness:       settings.MaxStaleness,
-		target:             targetState{heartbeatsExpected: settings.TargetHeartbeats},
+		target:             targetState{heartbeatsExpected: settings.TargetHeartbeats, evacuationsUnknown: settings.Evacuation > 0},
+		evacuation:         evacuationState{bound: settings.Evacuation},
 		plannedAdmission:   settings.PlannedAdmission,
 		watch:              watch{electionEnabled: settings.ElectWatchers, active: !settings.ElectWatchers},
 	}
@@ -166,7 +171,7 @@
 	if s.maxStaleness > 0 {
 		s.manifestConfirmedAt = now.Add(-unconfirmedAge) // a manifest received from a peer may be outdated
 	}
-	s.self.TargetClosed = s.target.heartbeatsExpected
+	s.self.TargetClosed = !s.target.available()
 	s.due.sync, s.due.claim, s.due.sweep = now, now.Add(claimInterval), now
 	s.routes.Put(now, s.endpoint(s.self, false), false)
 }
@@ -175,7 +180,7 @@
 func (s *State) endpoint(m member.Member, unreachable bool) route.Endpoint {
 	return route.Endpoint{
 		Name: m.Name, Service: m.Service, Domain: m.Domain, NodeAddr: m.NodeAddr,
-		Local: m.Name == s.self.Name, Draining: m.TargetClosed, Unreachable: unreachable,
+		Local: m.Name == s.self.Name, Draining: m.TargetClosed || s.evacuated(m.Domain), Unreachable: unreachable,
 		Slots: m.Slots, TargetStartMilli: m.TargetStartMilli,
 	}
 }
@@ -206,6 +211,7 @@
 	// ManifestConfirmedAt is the last time at which the active manifest was known to be
 	// the newest version.
 	ManifestConfirmedAt time.Time
+	Evacuations         EvacuationStatus
 }
 
 // Ready reports whether the node accepts calls: it has a manifest that is not stale and is
@@ -226,5 +232,6 @@
 		ManifestVersion: s.manifestVersion(),
 
 		ManifestConfirmedAt: s.manifestConfirmedAt,
+		Evacuations:         s.evacuationStatus(),
 	}
 }
--- a/core/store.go
+++ b/core/store.go
@@ -38,6 +38,8 @@
 		s.applyManifest(now, e.Manifest)
 	case *ManifestConfirmed:
 		s.advanceConfirmedAt(e.Version, e.At)
+	case *EvacuationsStored:
+		s.handleStoredEvacuations(now, e)
 	case *MemberStored:
 		s.mergeMember(now, e.Member)
 	case *MemberDeleted:
--- a/core/target.go
+++ b/core/target.go
@@ -33,6 +33,9 @@
 	// recalled is set once the departures that earlier processes of this node have stored
 	// are known, or no heartbeat from before this process can arrive any more.
 	recalled bool
+	// evacuationsUnknown is set until a starting node knows which domains are evacuated, or has
+	// waited for that long enough.
+	evacuationsUnknown bool
 }
 
 // recallTimeout is how long after the start a heartbeat may still have been sent to an earlier
@@ -64,7 +67,7 @@
 
 // available reports whether the target may be given calls.
 func (t *targetState) available() bool {
-	return !t.closedByDrain && (!t.heartbeatsExpected || t.recalled && t.heartbeatReceived && !t.departed)
+	return !t.closedByDrain && !t.evacuationsUnknown && (!t.heartbeatsExpected || t.recalled && t.heartbeatReceived && !t.departed)
 }
 
 // recallLeavingTarget applies what an earlier process of this node has announced to its peers.
