io/store, platform, internal: evacuated domains are read from the store

The elected watchers read and watch op/ instead of op/config if the setting evacuation is greater than 0, and a confirmation of the manifest reads op/ in the one call that it made before. platform decodes op/evacuate/DOMAIN; the template renders the setting only if the platform states the bound. Log lines evacuation-started and evacuation-ended, and three gauges.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,6 +71,7 @@
 	PlannedAdmission                  bool               // see core.Settings
 	ElectWatchers                     bool               // see core.Settings
 	RetryLimit                        retry.ServiceLimit // see core.Settings
+	Evacuation                        time.Duration      // see core.Settings
 	Logger                            *slog.Logger
 	Store                             store.Client
 	Layout                            store.Layout
@@ -119,7 +120,7 @@
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit,
+			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation,
 		}),
 		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot,
 	})
@@ -153,6 +154,9 @@
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
 		return clock.BootTime{}.Now().Sub(v.ManifestConfirmedAt).Seconds()
 	})
+	if a.Evacuation > 0 {
+		registerEvacuationGauges(gauge)
+	}
 }
 
 // AddListener adds a server. It must be called before Run.
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -83,6 +83,7 @@
 	if n.Version != 0 {
 		attrs = append(attrs, "version", n.Version)
 	}
+	attrs = append(attrs, evacuationAttrs(n)...)
 	o.log.Info(n.Kind.String(), attrs...)
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -35,6 +35,9 @@
 	MaxRevocationDelay manifest.Duration `json:"revoke"`
 	// DrainTimeout is the time within which a draining target must stop receiving calls.
 	DrainTimeout manifest.Duration `json:"drain"`
+	// Evacuation is the time within which the targets of an evacuated domain must stop
+	// receiving calls, 0 if domains cannot be evacuated.
+	Evacuation manifest.Duration `json:"evacuation,omitzero"`
 	// StopTimeout is the time from the request to stop until the process is killed.
 	StopTimeout manifest.Duration `json:"limit"`
 	MemoryMiB   int               `json:"memory"` // limit on the memory of the process
@@ -143,6 +146,7 @@
 	Store                         SidecarStore
 	MemoryMiB                     int
 	Descriptors, MaxHeadBytes     int
+	Evacuation                    time.Duration
 }
 
 // Static returns the settings that only take effect on a restart.
@@ -150,7 +154,7 @@
 	return SidecarStatic{
 		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 		Listen: s.Listen, Advertise: s.Advertise, Target: s.Target, Store: s.Store, MemoryMiB: s.MemoryMiB,
-		Descriptors: s.Descriptors, MaxHeadBytes: s.MaxHeadBytes,
+		Descriptors: s.Descriptors, MaxHeadBytes: s.MaxHeadBytes, Evacuation: s.Evacuation.Duration,
 	}
 }
 
@@ -202,6 +206,9 @@
 			add(f.path, "must be greater than 0")
 		}
 	}
+	if s.Evacuation.Duration < 0 {
+		add("/evacuation", "must not be less than 0")
+	}
 	if s.MemoryMiB <= 0 {
 		add("/memory", "must be greater than 0")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -92,9 +92,9 @@
 			NodeAddr: nodeAddr, ControlAddr: controlAddr,
 		},
 		NodeListenAddr: s.Listen.Node, ControlListenAddr: s.Listen.Control,
-		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Logger: log, Tracer: untraced{},
+		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, Logger: log, Tracer: untraced{},
 		Store:    kv.NewClient(kv.Config{Address: s.Store.Address}),
-		Layout:   store.Layout{Prefix: s.Store.Prefix, ManifestKey: platform.ConfigKey, Decoder: platform.ConfigDecoder{}},
+		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
 		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes,
@@ -126,6 +126,16 @@
 	return shares{callers: part(callerDescriptorRatio), nodes: part(nodeDescriptorRatio), idle: part(idleDescriptorRatio)}
 }
 
+// storeLayout returns the keys that the node reads in the store. Those of evacuated domains are
+// among them if the settings say by when an evacuation must take effect.
+func storeLayout(s settings.Sidecar) store.Layout {
+	l := store.Layout{Prefix: s.Store.Prefix, ManifestKey: platform.ConfigKey, Decoder: platform.ConfigDecoder{}}
+	if s.Evacuation.Duration > 0 {
+		l.Evacuations, l.OperatorPrefix = platform.EvacuationDecoder{}, platform.OperatorPrefix
+	}
+	return l
+}
+
 // maxStaleness returns how long API keys are accepted after the manifest was last confirmed.
 func maxStaleness(s settings.Sidecar) time.Duration {
 	return s.MaxRevocationDelay.Duration - revokeMargin
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -38,6 +38,11 @@
 	Prefix      string
 	ManifestKey string // may be outside the prefix
 	Decoder     ManifestDecoder
+	// Evacuations decodes the operators' keys for evacuated domains, nil if domains cannot be
+	// evacuated. OperatorPrefix is a prefix of those keys and of ManifestKey, and is outside
+	// Prefix; one read and one watch serve both.
+	Evacuations    EvacuationDecoder
+	OperatorPrefix string
 }
 
 // NewLayout returns the product's default layout under a prefix.
@@ -48,6 +53,14 @@
 // manifestUnderPrefix reports whether the watch on the prefix covers the manifest.
 func (l Layout) manifestUnderPrefix() bool { return strings.HasPrefix(l.ManifestKey, l.Prefix) }
 
+// operatorPrefix returns the prefix under which the operators' keys are read and watched.
+func (l Layout) operatorPrefix() string {
+	if l.Evacuations != nil {
+		return l.OperatorPrefix
+	}
+	return l.ManifestKey
+}
+
 func (l Layout) memberPrefix() string { return l.Prefix + "member/" }
 
 func (l Layout) memberKey(name string) string { return l.memberPrefix() + name }
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -88,6 +88,7 @@
 	claimsPausedUntil time.Time
 	announced         chan struct{} // closed after the first announcement
 	announcedOnce     sync.Once
+	evacuations       evacuationView // as the watch has reported it; only the watch uses it
 
 	mu             sync.Mutex
 	rejected       map[string]uint64 // by key: hash of the last value that could not be decoded
@@ -276,6 +277,9 @@
 // already have been reported by the watch, the connection of the watch is dead and
 // the watch is cancelled.
 func (s *Session) confirmManifest(ctx context.Context) error {
+	if s.Layout.Evacuations != nil {
+		return s.confirmOperatorKeys(ctx)
+	}
 	start := s.Clock.Now()
 	pair, err := s.Client.Get(ctx, s.Layout.ManifestKey)
 	if err != nil {
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -21,7 +21,7 @@
 		if on {
 			group.Go(func() { s.loadAndWatch(watchCtx, s.Layout.Prefix, s.loadNodeRecords) })
 			if !s.Layout.manifestUnderPrefix() {
-				group.Go(func() { s.loadAndWatch(watchCtx, s.Layout.ManifestKey, s.loadManifest) })
+				group.Go(func() { s.loadAndWatch(watchCtx, s.Layout.operatorPrefix(), s.loadOperatorKeys) })
 			}
 		}
 		select {
@@ -120,20 +120,16 @@
 	return revision, nil
 }
 
-// loadManifest reports a manifest whose key is outside the prefix and returns the
-// revision that was read.
-func (s *Session) loadManifest(ctx context.Context) (int64, error) {
+// loadOperatorKeys reports the manifest, whose key is outside the prefix, and the evacuated
+// domains. It returns the revision that was read, from which the watch goes on.
+func (s *Session) loadOperatorKeys(ctx context.Context) (int64, error) {
 	start := s.Clock.Now()
-	pairs, revision, err := s.Client.Range(ctx, s.Layout.ManifestKey)
+	pairs, revision, err := s.Client.Range(ctx, s.Layout.operatorPrefix())
 	if err != nil {
 		return 0, err
 	}
 	s.sink.Post(&core.StoreReachability{Reachable: true})
-	for _, p := range pairs {
-		if p.Key == s.Layout.ManifestKey {
-			s.reportManifest(Change{Key: p.Key, Value: p.Value}, start)
-		}
-	}
+	s.evacuations = s.reportOperatorKeys(pairs, revision, start)
 	return revision, nil
 }
 
@@ -161,6 +157,9 @@
 	}
 	err := s.Client.Watch(ctx, prefix, revision+1, batchDelay, func(c Change, revision int64) {
 		s.reportChange(c)
+		if prefix == s.Layout.operatorPrefix() {
+			s.reportEvacuation(c, revision)
+		}
 		if prefix == s.Layout.Prefix {
 			s.watched.advance(revision)
 		}
