--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -77,6 +78,14 @@
 	}
 }
 
+// checkAction fails the test unless a call got the action at once.
+func (e *evacuationTest) checkAction(what string, verdicts []Verdict, want Action) {
+	e.t.Helper()
+	if len(verdicts) != 1 || verdicts[0].Action != want {
+		e.t.Errorf("%s: got %+v, want %s", what, verdicts, want)
+	}
+}
+
 // TestEvacuatedTargetFinishesWhatRuns guards against calls that start at an evacuated target,
 // also from nodes that do not know of the evacuation, from the queue, or as the node's own, and
 // against calls in progress that are cut off.
@@ -84,9 +93,7 @@
 	e := newEvacuationTest(t, testEvacuationBound)
 	e.read(7)
 	running, v := e.call(FromNode)
-	if len(v) != 1 || v[0].Action != ActionRun {
-		t.Fatalf("a call before the evacuation got %+v, want run", v)
-	}
+	e.checkAction("call before the evacuation", v, ActionRun)
 	queued, v := e.call(FromNode)
 	if len(v) != 0 {
 		t.Fatalf("the second call got %+v, want no verdict while it is queued", v)
@@ -101,26 +108,42 @@
 	if got := e.state.Status().Evacuations; got.Domains != 1 || got.Running != 1 {
 		t.Errorf("status is %+v, want one domain and one running call", got)
 	}
-	if _, v = e.call(FromCallerOrTarget); len(v) != 1 || v[0].Action != ActionForward || v[0].Endpoint == "n3" {
-		t.Errorf("a call of a caller got %+v, want to be forwarded to another domain", v)
+	_, v = e.call(FromCallerOrTarget)
+	e.checkAction("call of a caller", v, ActionForward)
+	if len(v) == 1 && v[0].Endpoint == "n3" {
+		t.Error("a call of a caller is forwarded within the evacuated domain")
 	}
 	if v := e.step(&CallFinished{Call: running, Complete: true}).Verdicts; len(v) != 0 {
 		t.Errorf("the end of the running call led to %+v", v)
 	}
+	if got := e.state.Status().Evacuations; got.Running != 0 {
+		t.Errorf("%d calls run, want none", got.Running)
+	}
+}
+
+// TestTargetIsUsedAfterAnEvacuation guards against a target that stays closed after the key has
+// been deleted, or whose node does not know that it may be cold, and against operators who are
+// not told since when a domain was evacuated.
+func TestTargetIsUsedAfterAnEvacuation(t *testing.T) {
+	e := newEvacuationTest(t, testEvacuationBound)
+	e.read(7)
+	e.read(8, "d0")
 	if at := e.state.targetReopenedAt(); !at.IsZero() {
-		t.Errorf("the target counts as reopened at %s", at)
+		t.Errorf("the target counts as reopened at %s during the evacuation", at)
 	}
 	e.now = e.now.Add(time.Minute)
 	e.read(9)
 	if at := e.state.targetReopenedAt(); !at.Equal(e.now) {
 		t.Errorf("the target counts as reopened at %s, want %s", at, e.now)
 	}
-	if _, v = e.call(FromNode); len(v) != 1 || v[0].Action != ActionRun {
-		t.Errorf("a call after the evacuation got %+v, want run", v)
+	_, v := e.call(FromNode)
+	e.checkAction("call after the evacuation", v, ActionRun)
+	want := []Notice{
+		{Kind: NoticeEvacuationStarted, Evacuation: evacuation.Domain{Name: "d0", Revision: 8}},
+		{Kind: NoticeEvacuationEnded, Evacuation: evacuation.Domain{Name: "d0", Revision: 9, Age: time.Minute}},
 	}
-	if len(e.notice) != 2 || e.notice[0].Kind != NoticeEvacuationStarted || e.notice[1].Kind != NoticeEvacuationEnded ||
-		e.notice[1].Evacuation.Revision != 9 || e.notice[1].Evacuation.Age != time.Minute {
-		t.Errorf("notices are %+v, want the start and the end after a minute, at revision 9", e.notice)
+	if !slices.Equal(e.notice, want) {
+		t.Errorf("notices are %+v, want %+v", e.notice, want)
 	}
 }
 
--- a/core/store.go
+++ b/core/store.go
@@ -47,10 +47,7 @@
 	case *ShardStored:
 		s.setShardOwner(e.ShardRecord)
 	case *ShardDeleted:
-		if s.watch.electionEnabled {
-			s.watch.vacant = append(s.watch.vacant, e.Shard)
-		}
-		s.clearShardOwner(now, e.Shard)
+		s.handleShardDeleted(now, e.Shard)
 	case *CostsStored:
 		s.setStoredCosts(now, e.Rows)
 	case *ClaimDone:
@@ -143,6 +140,14 @@
 	}
 }
 
+// handleShardDeleted handles a shard's record that was removed from the store.
+func (s *State) handleShardDeleted(now time.Time, shard quota.Shard) {
+	if s.watch.electionEnabled {
+		s.watch.vacant = append(s.watch.vacant, shard)
+	}
+	s.clearShardOwner(now, shard)
+}
+
 // clearShardOwner records that a shard is vacant and claims it if this node is the next
 // candidate.
 func (s *State) clearShardOwner(now time.Time, shard quota.Shard) {
