core, core/route: a target is chosen again after an evacuation

Seen: in one of five runs of TestEvacuatedDomainGetsNoRequests with -race a target got no request in 15 s after its domain's evacuation had ended.

Cause: the endpoint was put back as a restarted one, which drops its latency. The default of 5 ms then makes it dearer than endpoints that answer faster, so that it is never measured again, and calls leave their own domain without need.

Change: a returning endpoint starts slow start again and keeps its latency.

--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryshelf/core/evacuation"
+	"celeryshelf/core/member"
 )
 
 const (
@@ -111,30 +112,34 @@
 		if !differs[p.Domain] {
 			continue
 		}
-		closed := s.evacuated(p.Domain)
-		s.routes.Put(now, s.endpoint(p.Member, p.Unreachable), !closed)
-		if closed && s.planning.planner != nil {
-			s.planning.planner.SetEvacuated(p.Name)
-		}
+		s.updateEvacuatedEndpoint(now, p.Member, p.Unreachable)
 	}
 	if differs[s.self.Domain] {
+		s.updateEvacuatedEndpoint(now, s.self, false)
 		s.evacuateTarget(now)
 	}
 	return true
 }
 
+// updateEvacuatedEndpoint applies the start or end of an evacuation to an endpoint.
+func (s *State) updateEvacuatedEndpoint(now time.Time, m member.Member, unreachable bool) {
+	s.routes.Put(now, s.endpoint(m, unreachable), false)
+	if !s.evacuated(m.Domain) {
+		s.routes.Find(m.Service, m.Name).Reopen(now)
+		return
+	}
+	if s.planning.planner != nil {
+		s.planning.planner.SetEvacuated(m.Name)
+	}
+}
+
 // evacuateTarget stops or resumes the use of the local target. Calls that run are finished,
 // those that wait are placed elsewhere by their sender.
 func (s *State) evacuateTarget(now time.Time) {
-	closed := s.evacuated(s.self.Domain)
-	s.routes.Put(now, s.endpoint(s.self, false), !closed)
-	if !closed {
+	if !s.evacuated(s.self.Domain) {
 		s.evacuation.reopenedAt = now
 		return
 	}
-	if s.planning.planner != nil {
-		s.planning.planner.SetEvacuated(s.self.Name)
-	}
 	s.rejectQueuedCalls(now)
 }
 
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -147,6 +147,35 @@
 	}
 }
 
+// TestReturningTargetIsChosenAgain guards against a target that gets no calls after its domain's
+// evacuation while others answer faster than an endpoint without a measured latency is taken to.
+func TestReturningTargetIsChosenAgain(t *testing.T) {
+	e := newEvacuationTest(t, testEvacuationBound)
+	e.read(7)
+	counts := map[string]int{}
+	for i := range 1200 {
+		switch i {
+		case 200:
+			e.read(8, "d0")
+		case 400:
+			e.read(9)
+		}
+		e.now = e.now.Add(10 * time.Millisecond)
+		id, v := e.call(FromCallerOrTarget)
+		if len(v) != 1 || v[0].Action == ActionRefuse {
+			t.Fatalf("call %d got %+v, want run or forward", i, v)
+		}
+		if i >= 800 {
+			counts[v[0].Endpoint]++
+		}
+		e.now = e.now.Add(time.Millisecond)
+		e.step(&CallFinished{Call: id, Complete: true})
+	}
+	if counts["n0"]+counts["n3"] < 200 {
+		t.Errorf("calls by endpoint are %v from 4 s after the evacuation on, want most of 400 in the own domain", counts)
+	}
+}
+
 // TestEvacuatedTargetsAreNotChosen guards against a target of an evacuated domain that is used
 // as the last resort, when the others are unreachable or evacuated too.
 func TestEvacuatedTargetsAreNotChosen(t *testing.T) {
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -126,6 +126,13 @@
 // ResetBackoff ends the backoff and any other pause, after the peer has answered a message.
 func (e *Endpoint) ResetBackoff() { e.failures, e.pausedUntil = 0, time.Time{} }
 
+// Reopen starts slow start again after a time without calls, and ends any pause. The measured
+// latency is kept: with the default one, the endpoint would get no calls while others are
+// faster than that.
+func (e *Endpoint) Reopen(now time.Time) {
+	e.slowStartAt, e.pausedUntil, e.failures = now, time.Time{}, 0
+}
+
 // ConnectFailed records the end of a call that could not connect. The endpoint backs off
 // exponentially.
 func (e *Endpoint) ConnectFailed(now time.Time) {
