core: a call looked up without a manifest gets 503

Cause: the route is looked up when the head of a request arrives, and the call is decided after its body and the events queued before it. The lookup was a name; an empty one stood for "no route matches" and for "no manifest is known". If the manifest arrived in between, the decision took the second for the first. In the same way a call could be refused or sent by a route of an older version, the limits could be those of another version, and a call of the product's own target got 403 while no manifest was known.

Change: RouteLookup holds the outcome (manifest unknown, route absent, found), the version and the request. A call looked up without a manifest is refused as not executed, whatever has arrived since; one looked up under another version is matched again under the active one. Limits and route come from one version. The session files of core name the route of a call in a field of the line instead of the event; their effects are unchanged.

--- a/cmd/bench/step.go
+++ b/cmd/bench/step.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		s.Step(now, &core.ClaimDone{Shard: quota.Shard{Workspace: "w", Index: i, Count: n}, Held: true})
 	}
-	return s, &core.CallArrived{Route: "map", KeyDigest: w.Keys[0].Digest, HasKey: true}
+	return s, &core.CallArrived{Route: core.RouteLookup{Outcome: core.RouteFound, Version: 1, Name: "map", Method: "GET", Path: "/map"}, KeyDigest: w.Keys[0].Digest, HasKey: true}
 }
 
 // step measures the reducer's throughput and allocations on one core, with alternating
--- a/core/arrival.go
+++ b/core/arrival.go
@@ -14,6 +14,7 @@
 func (s *State) handleCallArrived(now time.Time, e *CallArrived) {
 	c := s.newCall(e.Call)
 	c.origin, c.replayable, c.requestHash, c.requestID = e.Origin, e.Replayable, e.RequestHash, e.RequestID
+	s.useActiveManifest(&e.Route)
 	switch e.Origin {
 	case FromCaller:
 		s.handleCallerCall(now, c, e)
@@ -29,11 +30,11 @@
 // resolveRoute finds the route of a call and sets the call's service, deadline and
 // limits. It returns nil if it has refused the call.
 func (s *State) resolveRoute(now time.Time, c *call, e *CallArrived) *manifest.Route {
-	if s.manifest == nil {
+	if s.manifest == nil || e.Route.Outcome == ManifestUnknown {
 		s.refuse(now, c, ReasonNoManifest)
 		return nil
 	}
-	r := s.manifest.routes[e.Route]
+	r := s.findRoute(&e.Route)
 	if r == nil {
 		s.refuse(now, c, s.isolatedOr(now, ReasonUnknownRoute))
 		return nil
@@ -177,7 +178,7 @@
 // them as ParentRequestID.
 func (s *State) handleCallerOrTargetCall(now time.Time, c *call, e *CallArrived) {
 	p := s.runningByRequestID[e.ParentRequestID]
-	if e.HasKey || p == nil || p.phase != phaseRunning || !s.isPublicRoute(e.Route) {
+	if e.HasKey || p == nil || p.phase != phaseRunning || !s.isPublicRoute(&e.Route) {
 		s.handleCallerCall(now, c, e)
 		return
 	}
@@ -221,8 +222,9 @@
 	if !ok || p.phase != phaseRunning {
 		// Without the context of a running call the workspace is unknown, so
 		// the call needs a public route or an API key. The key is checked as
-		// for any external caller.
-		if e.HasKey || s.isPublicRoute(e.Route) {
+		// for any external caller. Without a manifest no route is known to be
+		// private.
+		if e.HasKey || e.Route.Outcome == ManifestUnknown || s.isPublicRoute(&e.Route) {
 			s.handleCallerCall(now, c, e)
 			return
 		}
@@ -232,11 +234,8 @@
 	s.handleChildCall(now, c, e, p)
 }
 
-func (s *State) isPublicRoute(name string) bool {
-	if s.manifest == nil {
-		return false
-	}
-	r := s.manifest.routes[name]
+func (s *State) isPublicRoute(l *RouteLookup) bool {
+	r := s.findRoute(l)
 	return r != nil && r.Public
 }
 
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -21,7 +21,7 @@
 		s.Step(now, &ClaimDone{Shard: quota.Shard{Workspace: "bo-lieu", Index: i, Count: 3}, Held: true})
 	}
 	now = now.Add(3 * time.Second)
-	arrive := &CallArrived{Route: "map", KeyDigest: manifest.DigestOf("k"), HasKey: true}
+	arrive := &CallArrived{Route: lookup("map"), KeyDigest: manifest.DigestOf("k"), HasKey: true}
 	finish := &CallFinished{Complete: true}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -155,7 +155,7 @@
 
 func (o *oracle) fromCaller() {
 	route := rapid.SampledFrom([]string{"map", "order"}).Draw(o.t, "route")
-	o.arrive(CallArrived{Route: route, RootID: uint64(o.nextID)}, oracleCall{atMostOnce: route == "order"})
+	o.arrive(CallArrived{Route: lookup(route), RootID: uint64(o.nextID)}, oracleCall{atMostOnce: route == "order"})
 }
 
 func (o *oracle) fromNode() {
@@ -170,7 +170,7 @@
 	id, p := o.pickCall(func(c *oracleCall) bool { return c.inFlight && c.local })
 	route := rapid.SampledFrom([]string{"map", "order"}).Draw(o.t, "route")
 	o.arrive(CallArrived{
-		Origin: FromTarget, ParentCall: id, Route: route,
+		Origin: FromTarget, ParentCall: id, Route: lookup(route),
 		RequestHash: rapid.Uint64Range(1, 3).Draw(o.t, "request"),
 	}, oracleCall{atMostOnce: route == "order", hasWorkspace: p.hasWorkspace, parent: id, root: p.root})
 }
--- a/core/confirmation_test.go
+++ b/core/confirmation_test.go
@@ -21,7 +21,7 @@
 // refusalOfKeyedCall sends a call with a key and returns the reason of its refusal, or
 // ReasonNone if it is admitted.
 func refusalOfKeyedCall(s *State, now time.Time, call CallID) Reason {
-	a := &CallArrived{Call: call, Route: "map", HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: time.Second}
+	a := &CallArrived{Call: call, Route: lookup("map"), HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: time.Second}
 	for _, v := range s.Step(now, a).Verdicts {
 		if v.Action == ActionRefuse {
 			return v.Reason
@@ -169,7 +169,7 @@
 		at   time.Time
 		want Reason
 	}{{now, ReasonUnknownRoute}, {now.Add(testMaxStaleness + time.Second), ReasonIsolated}} {
-		e := s.Step(c.at, &CallArrived{Call: CallID(c.at.UnixNano()), Route: "added", Timeout: time.Second})
+		e := s.Step(c.at, &CallArrived{Call: CallID(c.at.UnixNano()), Route: lookup("added"), Timeout: time.Second})
 		if len(e.Verdicts) != 1 || e.Verdicts[0].Reason != c.want {
 			t.Errorf("got %+v, want a refusal with %s", e.Verdicts, c.want)
 		}
@@ -182,7 +182,7 @@
 	now := time.Unix(1000, 0)
 	s := confirmedNode(now)
 	refusal := func(call CallID) Reason {
-		return s.Step(now, &CallArrived{Call: call, Route: "added", Timeout: time.Second}).Verdicts[0].Reason
+		return s.Step(now, &CallArrived{Call: call, Route: lookup("added"), Timeout: time.Second}).Verdicts[0].Reason
 	}
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.Step(now, &MessageReceived{From: "n1", Body: &Confirmation{Version: 2}})
--- a/core/declined_test.go
+++ b/core/declined_test.go
@@ -26,7 +26,7 @@
 		peer.Service = "deep"
 		s.Step(now, &MemberStored{Member: peer})
 	}
-	v := s.Step(now, &CallArrived{Call: 1, Route: "map", Timeout: time.Second, Replayable: true}).Verdicts
+	v := s.Step(now, &CallArrived{Call: 1, Route: lookup("map"), Timeout: time.Second, Replayable: true}).Verdicts
 	asked := map[string]bool{}
 	for len(v) == 1 && v[0].Action == ActionForward {
 		if asked[v[0].Endpoint] {
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -16,7 +16,7 @@
 	s.Step(now, &CallArrived{Call: 1, Origin: FromNode, RequestID: "a", Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Minute}})
 	s.Step(now, &DrainRequested{CallerGrace: callerGrace})
 	fromCaller := func(at time.Duration, call CallID) Verdict {
-		a := &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: "map", HasKey: true, Timeout: time.Second}
+		a := &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: lookup("map"), HasKey: true, Timeout: time.Second}
 		return s.Step(now.Add(at), a).Verdicts[0]
 	}
 	if v := fromCaller(callerGrace-time.Millisecond, 2); v.Action != ActionForward {
@@ -25,7 +25,7 @@
 	if v := fromCaller(callerGrace, 3); v.Action != ActionRefuse || v.Reason != ReasonDraining || v.Executed != ExecutedNo {
 		t.Errorf("a call after the caller grace period got %s, reason %s; want refuse with reason draining and ran=no", v.Action, v.Reason)
 	}
-	child := &CallArrived{Call: 4, Origin: FromCallerOrTarget, Route: "map", RequestID: "a.b", ParentRequestID: "a", Timeout: time.Second}
+	child := &CallArrived{Call: 4, Origin: FromCallerOrTarget, Route: lookup("map"), RequestID: "a.b", ParentRequestID: "a", Timeout: time.Second}
 	if v := s.Step(now.Add(callerGrace), child).Verdicts[0]; v.Action != ActionForward {
 		t.Errorf("a child of a call that still runs got %s, reason %s; want forward", v.Action, v.Reason)
 	}
@@ -96,7 +96,7 @@
 	s.Step(now, &DrainRequested{CallerGrace: callerGrace, TargetGrace: callerGrace, Limit: limit})
 	arrive := func(at time.Duration, e CallArrived) Verdict {
 		e.Call = CallID(100 + at)
-		e.Route, e.RequestID, e.Timeout = "map", "a.b", time.Minute
+		e.Route, e.RequestID, e.Timeout = lookup("map"), "a.b", time.Minute
 		return s.Step(now.Add(at), &e).Verdicts[0]
 	}
 	child := CallArrived{Origin: FromCallerOrTarget, ParentRequestID: "a"}
--- a/core/effect.go
+++ b/core/effect.go
@@ -6,7 +6,6 @@
 
 	"celeryshelf/core/admit"
 	"celeryshelf/core/evacuation"
-	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
@@ -22,7 +21,7 @@
 	// Acknowledgements lists the messages of the local target that may be acknowledged. What
 	// they told is then not forgotten in a restart.
 	Acknowledgements []AckID
-	NewManifest      *manifest.Versioned // a manifest that has just become active
+	NewManifest      *ActiveManifest // a manifest that has just become active
 }
 
 func (e *Effects) reset() {
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -66,7 +66,7 @@
 func (e *evacuationTest) call(origin Origin) (CallID, []Verdict) {
 	e.last++
 	effects := e.step(&CallArrived{
-		Call: e.last, Origin: origin, Route: "map", Replayable: true, Timeout: time.Second, Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Second},
+		Call: e.last, Origin: origin, Route: lookup("map"), Replayable: true, Timeout: time.Second, Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Second},
 	})
 	return e.last, append([]Verdict(nil), effects.Verdicts...)
 }
--- a/core/event.go
+++ b/core/event.go
@@ -44,11 +44,12 @@
 }
 
 // CallArrived reports a new call. The sender must not modify the event until the
-// call has ended.
+// call has ended. The reducer updates its Route if a newer manifest has become active since
+// the lookup.
 type CallArrived struct {
 	Call            CallID
 	Origin          Origin
-	Route           string
+	Route           RouteLookup     // unless FromNode
 	KeyDigest       manifest.Digest // FromCaller: digest of the API key
 	HasKey          bool            // FromCaller: the call carries an API key
 	ParentCall      CallID          // FromTarget: the running call that made this one
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -253,7 +253,7 @@
 func (f *testFleet) call(i int, route string) {
 	f.callCount++
 	f.step(i, &CallArrived{
-		Call: CallID(f.callCount), Route: route, KeyDigest: manifest.DigestOf("k"), HasKey: true,
+		Call: CallID(f.callCount), Route: lookup(route), KeyDigest: manifest.DigestOf("k"), HasKey: true,
 		RootID: f.callCount, Replayable: true,
 	})
 }
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -275,7 +275,7 @@
 	id := m.id()
 	hop := &simHop{node: i, route: "table", name: parent.name + ".c", onEnd: func(ok, _ bool) { done(ok) }}
 	m.hops[i][id] = hop
-	a := &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: "table", RequestID: hop.name, RootID: uint64(id), Timeout: time.Second, Replayable: true}
+	a := &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: lookup("table"), RequestID: hop.name, RootID: uint64(id), Timeout: time.Second, Replayable: true}
 	if m.namesParent {
 		a.ParentRequestID = parent.name
 	}
@@ -299,7 +299,7 @@
 		}}
 		m.hops[i][id] = hop
 		// The API key marks this as a caller's call; the routes are public.
-		m.step(i, &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: route, RequestID: hop.name, HasKey: true, RootID: uint64(id), Timeout: time.Second, Replayable: true})
+		m.step(i, &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: lookup(route), RequestID: hop.name, HasKey: true, RootID: uint64(id), Timeout: time.Second, Replayable: true})
 		m.offer(route, rate, until, sent, served)
 	})
 }
--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -19,6 +19,7 @@
 	byKeyDigest map[manifest.Digest]*manifest.Workspace
 	workspaces  map[string]*manifest.Workspace
 	routes      map[string]*manifest.Route
+	matcher     *manifest.Matcher
 	meanRate    float64 // of all workspaces; the weight of calls without a workspace
 	salt        uint64  // the same on all nodes and unknown to callers, who could otherwise choose IDs that rank high
 	classes     map[callPriority]uint8
@@ -96,6 +97,7 @@
 	for i := range m.Routes {
 		idx.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
+	idx.matcher = manifest.NewMatcher(m.Routes)
 	idx.assignClasses()
 	return idx
 }
@@ -144,7 +146,7 @@
 	s.manifest = newManifestIndex(v)
 	s.applyAllowances(now)
 	s.self.ManifestVersion = v.Version
-	s.effects.NewManifest = &s.manifest.source
+	s.effects.NewManifest = &ActiveManifest{Versioned: &s.manifest.source, Matcher: s.manifest.matcher}
 	s.addNotice(Notice{Kind: NoticeManifestActive, Version: v.Version})
 	s.spreadManifest(now)
 }
--- a/core/odd_entry_test.go
+++ b/core/odd_entry_test.go
@@ -129,7 +129,7 @@
 			t.Errorf("the plan follows an odd report: %+v", ratios)
 		}
 	}
-	if v := s.Step(now, &CallArrived{Call: 1, Origin: FromCallerOrTarget, Route: "map", HasKey: true, Timeout: time.Second}).Verdicts; len(v) != 1 || v[0].Reason == ReasonShed {
+	if v := s.Step(now, &CallArrived{Call: 1, Origin: FromCallerOrTarget, Route: lookup("map"), HasKey: true, Timeout: time.Second}).Verdicts; len(v) != 1 || v[0].Reason == ReasonShed {
 		t.Errorf("a call got %+v", v)
 	}
 }
--- a/core/retry_after_test.go
+++ b/core/retry_after_test.go
@@ -21,7 +21,7 @@
 		delays := map[time.Duration]bool{}
 		refused := 0
 		for call := CallID(1); call <= 40; call++ {
-			arrival := &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: "map", HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: 2 * objective}
+			arrival := &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: lookup("map"), HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: 2 * objective}
 			verdicts := append([]Verdict(nil), s.Step(now, arrival).Verdicts...)
 			now = now.Add(objective / 2)
 			verdicts = append(verdicts, s.Step(now, &Tick{}).Verdicts...)
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -22,7 +22,8 @@
 	At    string          `json:"at"` // time since the start of the session
 	Event string          `json:"event"`
 	With  json.RawMessage `json:"with"`
-	Key   string          `json:"key"` // CallArrived: the API key
+	Key   string          `json:"key"`   // CallArrived: the API key
+	Route string          `json:"route"` // CallArrived: the route that matched the request
 }
 
 func newEvent(name string) Event {
@@ -127,6 +128,9 @@
 	if a, ok := e.(*CallArrived); ok && l.Key != "" {
 		a.KeyDigest, a.HasKey = manifest.DigestOf(l.Key), true
 	}
+	if a, ok := e.(*CallArrived); ok && l.Route != "" {
+		a.Route = lookup(l.Route)
+	}
 	if h, ok := e.(*LeaseHeld); ok {
 		h.Until = time.Unix(1000, 0).UTC().Add(time.Minute)
 	}
--- a/core/target_test.go
+++ b/core/target_test.go
@@ -38,7 +38,7 @@
 				now = now.Add(time.Millisecond)
 				s.Step(now, e)
 			}
-			got := s.Step(now, &CallArrived{Call: 1, Route: "map", Timeout: time.Second}).Verdicts
+			got := s.Step(now, &CallArrived{Call: 1, Route: lookup("map"), Timeout: time.Second}).Verdicts
 			if ran := got[0].Action == ActionRun; ran != tt.available {
 				t.Errorf("the call got %s, reason %s; want run: %v", got[0].Action, got[0].Reason, tt.available)
 			}
@@ -57,11 +57,11 @@
 	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
 	s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "a", StartUnixMilli: 1, Sequence: 1, Slots: 1}})
-	run := s.Step(now, &CallArrived{Call: 1, Route: "map", Timeout: time.Second}).Verdicts
+	run := s.Step(now, &CallArrived{Call: 1, Route: lookup("map"), Timeout: time.Second}).Verdicts
 	if len(run) != 1 || run[0].Action != ActionRun {
 		t.Fatalf("first call: %+v", run)
 	}
-	if waits := s.Step(now, &CallArrived{Call: 2, Route: "map", Timeout: time.Second}).Verdicts; len(waits) != 0 {
+	if waits := s.Step(now, &CallArrived{Call: 2, Route: lookup("map"), Timeout: time.Second}).Verdicts; len(waits) != 0 {
 		t.Fatalf("second call was not queued: %+v", waits)
 	}
 	got := s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "a", StartUnixMilli: 1, Sequence: 2, Draining: true, Slots: 1}}).Verdicts
@@ -91,7 +91,7 @@
 		s.Step(now, &TargetDeregistered{InstanceID: "a"})
 		at := now.Add(tt.after)
 		s.Step(at, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: tt.id, StartUnixMilli: tt.start, Sequence: 3, Slots: 10}})
-		got := s.Step(at, &CallArrived{Call: 1, Route: "map", Timeout: time.Second}).Verdicts
+		got := s.Step(at, &CallArrived{Call: 1, Route: lookup("map"), Timeout: time.Second}).Verdicts
 		if ran := got[0].Action == ActionRun; ran != tt.available {
 			t.Errorf("%s: the call got %s, reason %s; want run: %v", tt.name, got[0].Action, got[0].Reason, tt.available)
 		}
--- a/core/unreachable_test.go
+++ b/core/unreachable_test.go
@@ -21,7 +21,7 @@
 	tried := 0
 	for call := CallID(1); call < 400; call++ {
 		now = now.Add(20 * time.Millisecond)
-		for _, v := range s.Step(now, &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: "map", HasKey: true, Timeout: time.Second, Replayable: true}).Verdicts {
+		for _, v := range s.Step(now, &CallArrived{Call: call, Origin: FromCallerOrTarget, Route: lookup("map"), HasKey: true, Timeout: time.Second, Replayable: true}).Verdicts {
 			if v.Action == ActionForward && v.Endpoint == "n1" {
 				tried++
 				s.Step(now, &AttemptFailed{Call: v.Call, Cause: CauseUnreachable})
--- a/core/watch_test.go
+++ b/core/watch_test.go
@@ -100,7 +100,7 @@
 		t.Errorf("owner is %q, want n3", owner)
 	}
 	// The answer to a token request says that n3 no longer owns the shard.
-	envelopes := s.Step(now, &CallArrived{Call: 1, Origin: FromCaller, Route: "map", HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: time.Second}).Envelopes
+	envelopes := s.Step(now, &CallArrived{Call: 1, Origin: FromCaller, Route: lookup("map"), HasKey: true, KeyDigest: manifest.DigestOf("k"), Timeout: time.Second}).Envelopes
 	var request quota.BatchRequest
 	for _, m := range envelopes {
 		if a, ok := m.Body.(*TokenBatchRequest); ok && m.To == "n3" {
--- a/internal/agent/call_log.go
+++ b/internal/agent/call_log.go
@@ -104,7 +104,7 @@
 		slog.String("id", a.RequestID),
 		slog.String("action", v.Action.String()),
 		slog.String("origin", a.Origin.String()),
-		slog.String("route", a.Route+a.Context.Route),
+		slog.String("route", a.Route.Name+a.Context.Route),
 		slog.String("workspace", v.Inputs.Workspace),
 		slog.Uint64("version", v.Inputs.ManifestVersion),
 		slog.Duration("confirmed", v.Inputs.ManifestAge),
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -7,7 +7,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"celeryshelf/core"
-	"celeryshelf/core/manifest"
 	"celeryshelf/io/caller"
 )
 
@@ -89,8 +88,8 @@
 
 // ManifestActivated passes a new manifest to the router, which matches requests to its
 // routes and knows its API keys.
-func (o *observer) ManifestActivated(m *manifest.Versioned) {
-	o.router.SetManifest(&m.Manifest)
+func (o *observer) ManifestActivated(m *core.ActiveManifest) {
+	o.router.SetManifest(m)
 	metrics.GetOrCreateCounter("celeryshelf_manifest_version").Set(m.Version)
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celeryshelf/core"
-	"celeryshelf/core/manifest"
 )
 
 const queueSize = 8192
@@ -25,7 +24,7 @@
 type Observer interface {
 	Verdict(v *core.Verdict, a *core.CallArrived)
 	Notice(n core.Notice)
-	ManifestActivated(m *manifest.Versioned)
+	ManifestActivated(m *core.ActiveManifest)
 }
 
 // Clock returns the time in the reducer's time base.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,10 +13,10 @@
 	"celeryshelf/io/node"
 )
 
-// Router matches requests to routes and returns the limits on requests.
+// Router matches requests to routes and returns the limits on requests, both by the same
+// version of the manifest.
 type Router interface {
-	Route(r *http.Request) (name string, ok bool)
-	Limits() manifest.Limits
+	Lookup(r *http.Request) (core.RouteLookup, manifest.Limits)
 }
 
 // Clock returns the time in the reducer's time base.
@@ -81,14 +81,15 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		info := r.Dialect.ParseRequest(req)
 		a := core.CallArrived{Origin: origin, RequestID: info.RequestID, ParentRequestID: info.ParentRequestID, IdempotencyHash: info.IdempotencyDigest, Timeout: info.Timeout, HasKey: info.HasAPIKey}
-		a.Route, _ = r.Router.Route(req)
+		var limits manifest.Limits
+		a.Route, limits = r.Router.Lookup(req)
 		if info.HasAPIKey {
 			a.KeyDigest = manifest.DigestOf(info.APIKey)
 		}
 		if origin == core.FromTarget {
 			a.RequestHash = requestDigest(req)
 		}
-		r.serve(w, req, a, r.Dialect, info.APIKey)
+		r.serve(w, req, a, limits, r.Dialect, info.APIKey)
 	})
 }
 
@@ -101,12 +102,13 @@
 			return
 		}
 		info := r.Dialect.ParseRequest(req)
-		r.serve(w, req, core.CallArrived{Origin: core.FromNode, RequestID: info.RequestID, Context: pass}, refuser, "")
+		// The limits are checked by the node at which the call entered.
+		r.serve(w, req, core.CallArrived{Origin: core.FromNode, RequestID: info.RequestID, Context: pass}, manifest.Limits{}, refuser, "")
 	})
 }
 
-func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, refuser Refuser, apiKey string) {
-	body, why := r.open(w, req, a.Origin)
+func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, limits manifest.Limits, refuser Refuser, apiKey string) {
+	body, why := r.open(w, req, limits)
 	if why != core.ReasonNone {
 		w.Header().Set("Connection", "close")
 		refuser.Refuse(w, core.Verdict{Reason: why})
@@ -124,7 +126,7 @@
 	case core.FromNode:
 	}
 	span.SetAttribute("origin", a.Origin.String())
-	span.SetAttribute("route", a.Route+a.Context.Route)
+	span.SetAttribute("route", a.Route.Name+a.Context.Route)
 	x := &exchange{
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
 		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID,
@@ -141,11 +143,7 @@
 
 // open checks the size of a request and prepares its body. It returns the reason for
 // which the request is refused, or ReasonNone.
-func (r *Relay) open(w http.ResponseWriter, req *http.Request, origin core.Origin) (body, core.Reason) {
-	limits := r.Router.Limits()
-	if origin == core.FromNode {
-		limits = manifest.Limits{} // checked by the node at which the call entered
-	}
+func (r *Relay) open(w http.ResponseWriter, req *http.Request, limits manifest.Limits) (body, core.Reason) {
 	if limits.MaxHeaderBytes > 0 && headerSize(req.Header) > limits.MaxHeaderBytes {
 		return body{}, core.ReasonHeaderTooLarge
 	}
--- a/io/caller/router.go
+++ b/io/caller/router.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"celeryshelf/core"
 	"celeryshelf/core/manifest"
 )
 
@@ -13,15 +14,16 @@
 }
 
 type routeTable struct {
-	*manifest.Matcher
+	matcher *manifest.Matcher
+	version uint64
 	digests map[manifest.Digest]bool
 	limits  manifest.Limits
 }
 
 // SetManifest replaces the routes, API keys and limits with those of a manifest.
-func (r *Router) SetManifest(m *manifest.Manifest) {
-	t := &routeTable{Matcher: manifest.NewMatcher(m.Routes), digests: map[manifest.Digest]bool{}, limits: m.Limits}
-	for _, w := range m.Workspaces {
+func (r *Router) SetManifest(m *core.ActiveManifest) {
+	t := &routeTable{matcher: m.Matcher, version: m.Version, digests: map[manifest.Digest]bool{}, limits: m.Manifest.Limits}
+	for _, w := range m.Manifest.Workspaces {
 		for _, k := range w.Keys {
 			t.digests[k.Digest] = true
 		}
@@ -29,26 +31,14 @@
 	r.table.Store(t)
 }
 
-// Route returns the name of the route that matches a request.
-func (r *Router) Route(req *http.Request) (string, bool) {
+// Lookup matches a request against the routes of the current manifest, and returns the limits
+// on requests that the same manifest sets.
+func (r *Router) Lookup(req *http.Request) (core.RouteLookup, manifest.Limits) {
 	t := r.table.Load()
 	if t == nil {
-		return "", false
+		return core.RouteLookup{Outcome: core.ManifestUnknown}, manifest.Limits{}
 	}
-	route := t.Match(req.Method, req.Host, req.URL.EscapedPath())
-	if route == nil {
-		return "", false
-	}
-	return route.Name, true
-}
-
-// Limits returns the limits on requests that the current manifest sets.
-func (r *Router) Limits() manifest.Limits {
-	t := r.table.Load()
-	if t == nil {
-		return manifest.Limits{}
-	}
-	return t.limits
+	return core.LookUpRoute(t.version, t.matcher, req.Method, req.Host, req.URL.EscapedPath()), t.limits
 }
 
 // HasKey reports whether a digest is that of an API key in the current manifest.
