relay: each byte of a long body has one reader

Most bodies seemed whole; with a length some responses reached the caller cut.

Cause: a goroutine sends such a body on from the server's connection. When the response begins, net/http discards up to 256 KiB of the unread rest of the same body, in both nodes on the path.

Change: a streamed body has one reader, and the server leaves it alone. After an early response the rest goes on to the target in order while it makes progress, or the connection to the target is closed. What nobody needs is read and dropped for up to 5 s, so that the sender can read the response. A response that begins before the body is complete announces the end of its connection. Refusals have a length, so that they are complete before that.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -15,25 +15,30 @@
 // can be sent only once.
 type body struct {
 	buffered   []byte
-	stream     io.ReadCloser
+	stream     *stream
 	length     int64
 	replayable bool
 }
 
 // openBody buffers a small body and fails if it is incomplete. A body of unknown length
-// counts as small if it ends within the limit.
-func openBody(req *http.Request) (body, error) {
+// counts as small if it ends within the limit. A body of more than maxBytes fails, 0 stands for
+// no limit.
+func openBody(req *http.Request, maxBytes int64) (body, error) {
 	if req.Body == nil || req.Body == http.NoBody || req.ContentLength == 0 {
 		return body{replayable: true}, nil
 	}
+	var source io.Reader = req.Body
+	if maxBytes > 0 {
+		source = &limitedBody{Reader: req.Body, limit: maxBytes, left: maxBytes}
+	}
 	if req.ContentLength > maxReplayableBodyBytes {
-		return body{stream: req.Body, length: req.ContentLength}, nil
+		return body{stream: newStream(source), length: req.ContentLength}, nil
 	}
 	if req.ContentLength < 0 {
-		return openUnknownLength(req)
+		return openUnknownLength(source)
 	}
 	held := make([]byte, req.ContentLength)
-	if _, err := io.ReadFull(req.Body, held); err != nil {
+	if _, err := io.ReadFull(source, held); err != nil {
 		return body{}, fmt.Errorf("read body: %w", err)
 	}
 	return body{buffered: held, length: req.ContentLength, replayable: true}, nil
@@ -43,7 +48,7 @@
 func (b body) attach(out *http.Request) {
 	switch {
 	case b.stream != nil:
-		out.Body = b.stream
+		out.Body = io.NopCloser(b.stream.newReader())
 	case len(b.buffered) > 0:
 		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
 	default:
@@ -52,17 +57,13 @@
 	out.ContentLength = b.length
 }
 
-func openUnknownLength(req *http.Request) (body, error) {
-	held, err := io.ReadAll(io.LimitReader(req.Body, maxReplayableBodyBytes+1))
+func openUnknownLength(source io.Reader) (body, error) {
+	held, err := io.ReadAll(io.LimitReader(source, maxReplayableBodyBytes+1))
 	if err != nil {
 		return body{}, fmt.Errorf("read body: %w", err)
 	}
 	if len(held) <= maxReplayableBodyBytes {
 		return body{buffered: held, length: int64(len(held)), replayable: true}, nil
 	}
-	rest := struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(held), req.Body), req.Body}
-	return body{stream: rest, length: -1}, nil
+	return body{stream: newStream(io.MultiReader(bytes.NewReader(held), source)), length: -1}, nil
 }
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -27,13 +27,16 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			req := &http.Request{Body: io.NopCloser(strings.NewReader(tt.sent)), ContentLength: tt.length}
-			b, err := openBody(req)
+			b, err := openBody(req, 0)
 			if (err != nil) != tt.fails || b.replayable != tt.replayable {
 				t.Fatalf("openBody: replayable %t, error %v; want replayable %t, error %t", b.replayable, err, tt.replayable, tt.fails)
 			}
 			if tt.fails {
 				return
 			}
+			if b.stream != nil {
+				go b.stream.run()
+			}
 			out := &http.Request{}
 			b.attach(out)
 			got, err := io.ReadAll(out.Body)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -34,7 +34,10 @@
 
 	response      *http.Response // of the last attempt, not yet written; a failed one may still be delivered
 	cancelAttempt context.CancelFunc
-	verdict       core.Verdict
+	// detachSender keeps the attempt of a streamed body from ending with the sender's connection. It
+	// returns false if the connection has ended.
+	detachSender func() bool
+	verdict      core.Verdict
 }
 
 // executeVerdicts executes verdicts until the call has ended.
@@ -83,6 +86,7 @@
 func (x *exchange) refuse(v core.Verdict) {
 	x.span.SetAttribute("reason", v.Reason.String())
 	x.span.SetAttribute("ran", v.Executed.String())
+	x.closeAfterUpload()
 	x.refuser.Refuse(statusWriter{x.w, &x.status}, v)
 	x.complete = true
 }
@@ -107,6 +111,7 @@
 		return
 	}
 	copyInto(x.w.Header(), ans.header)
+	x.closeAfterUpload()
 	if x.origin == core.FromNode {
 		node.SetOutcome(x.w.Header(), "", node.Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
 	}
@@ -119,7 +124,7 @@
 // attempt makes one attempt and reports whether the control loop will send a further
 // verdict.
 func (x *exchange) attempt(v core.Verdict) bool {
-	ctx, cancel := context.WithTimeout(x.ctx, v.AttemptEnd.Sub(x.Clock.Now()))
+	ctx, cancel := x.newAttemptContext(v)
 	x.cancelAttempt = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // discardResponse or writeResponse closes it
 	if err != nil {
@@ -265,6 +270,7 @@
 	defer func() { _ = res.Body.Close() }()
 	copyInto(x.w.Header(), copyHeader(res.Header))
 	x.suppressImplicitHeaders(x.w.Header())
+	x.closeAfterUpload()
 	if x.origin == core.FromNode {
 		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs.Load)
 	}
@@ -292,6 +298,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	x.awaitForwarding(res)
 	x.sendOutcome()
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -80,16 +80,17 @@
 	t.Cleanup(func() { _ = s.Close() })
 }
 
-// startNode starts a node of a service whose target has the given address.
+// startNode starts a node of a service whose target has the given address. A target with slots
+// sends a heartbeat.
 func startNode(t *testing.T, service string, target netip.AddrPort, slots int) *testNode {
 	callers, nodes := listen(t), listen(t)
 	n := &testNode{router: &caller.Router{}, caller: addressOf(callers)}
 	n.member = member.Member{
-		Name: "node-" + service, Service: service, Domain: "d", Slots: slots,
+		Name: "node-" + service, Service: service, Domain: "d",
 		NodeAddr: addressOf(nodes), ControlAddr: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1, Revision: 1,
 	}
 	n.loop = control.New(control.Config{
-		Clock: clock.BootTime{}, State: core.New(core.Settings{Self: n.member, PlannedAdmission: true}),
+		Clock: clock.BootTime{}, State: core.New(core.Settings{Self: n.member, PlannedAdmission: true, TargetHeartbeats: slots > 0}),
 		MessageSender: n, StoreExecutor: n, Observer: n,
 	})
 	r := relay.New(relay.Config{
@@ -100,11 +101,27 @@
 	t.Cleanup(cancel)
 	go n.loop.Run(ctx)
 	n.loop.Post(&core.StoreReachability{Reachable: true})
+	n.loop.Post(&core.StoreSnapshot{}) // a starting node uses its target once it has read the store
+	if slots > 0 {
+		n.loop.Post(&core.HeartbeatReceived{Heartbeat: core.Heartbeat{InstanceID: "t", StartUnixMilli: 1, Sequence: 1, Slots: slots}})
+	}
 	serve(t, callers, caller.NewServer(r.CallHandler(core.FromCallerOrTarget)))
 	serve(t, nodes, node.NewServer(r.NodeHandler(node.RefusalWriter{})))
 	return n
 }
 
+// startNodes starts a node at which calls enter, and the node of the target that runs them.
+func startNodes(t *testing.T, target netip.AddrPort, slots int) (front, back *testNode) {
+	front, back = startNode(t, "front", target, 0), startNode(t, "back", target, slots)
+	front.loop.Post(&core.MemberStored{Member: back.member})
+	back.loop.Post(&core.MemberStored{Member: front.member})
+	for _, n := range []*testNode{front, back} {
+		n.loop.Post(&core.ManifestStored{Manifest: testManifest()})
+	}
+	awaitManifest(t, front, back)
+	return front, back
+}
+
 // awaitManifest waits until the nodes use a manifest.
 func awaitManifest(t *testing.T, nodes ...*testNode) {
 	for _, n := range nodes {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,7 +108,7 @@
 }
 
 func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, limits manifest.Limits, refuser Refuser, apiKey string) {
-	body, why := r.open(w, req, limits)
+	body, why := r.open(req, limits)
 	if why != core.ReasonNone {
 		w.Header().Set("Connection", "close")
 		refuser.Refuse(w, core.Verdict{Reason: why})
@@ -131,6 +131,12 @@
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
 		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID,
 	}
+	if body.stream != nil {
+		// Without it, net/http reads from the body itself when the response begins.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		defer body.stream.stop()
+		go body.stream.run()
+	}
 	began := time.Now()
 	x.call = r.Loop.BeginCall(a)
 	defer func() {
@@ -139,11 +145,12 @@
 		})
 	}()
 	x.executeVerdicts()
+	x.discardUpload()
 }
 
 // open checks the size of a request and prepares its body. It returns the reason for
 // which the request is refused, or ReasonNone.
-func (r *Relay) open(w http.ResponseWriter, req *http.Request, limits manifest.Limits) (body, core.Reason) {
+func (r *Relay) open(req *http.Request, limits manifest.Limits) (body, core.Reason) {
 	if limits.MaxHeaderBytes > 0 && headerSize(req.Header) > limits.MaxHeaderBytes {
 		return body{}, core.ReasonHeaderTooLarge
 	}
@@ -151,9 +158,8 @@
 		if req.ContentLength > limits.MaxBodyBytes {
 			return body{}, core.ReasonBodyTooLarge
 		}
-		req.Body = http.MaxBytesReader(w, req.Body, limits.MaxBodyBytes)
 	}
-	b, err := openBody(req)
+	b, err := openBody(req, limits.MaxBodyBytes)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -44,14 +44,16 @@
 // Refuse writes the status code, the reason, and whether the call may have been executed.
 func (RefusalWriter) Refuse(w http.ResponseWriter, v core.Verdict) {
 	h := w.Header()
+	text, _ := json.Marshal(RefusalBody{Reason: v.Reason.String(), Executed: v.Executed.String()}) // cannot fail
 	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	h.Set(node.HeaderReason, v.Reason.String())
 	h.Set(node.HeaderExecuted, v.Executed.String())
 	if v.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(v.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(StatusCode(v.Reason))
-	_ = json.NewEncoder(w).Encode(RefusalBody{Reason: v.Reason.String(), Executed: v.Executed.String()})
+	_, _ = w.Write(text)
 }
 
 // StatusCode returns the HTTP status code of a refusal.
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -130,21 +130,27 @@
 			return nil, err
 		}
 	} else {
-		conn.writeResult = make(chan error, 1)
+		written := make(chan struct{})
+		conn.written = written
 		go func() {
-			err := conn.writeRequest(req)
-			if err != nil {
-				// The target will not respond to an incomplete request.
+			defer close(written)
+			conn.writeErr = conn.writeRequest(req)
+			if conn.writeErr != nil && !conn.writeFailed.Load() {
+				// The target will not respond to an incomplete request. If the target does
+				// not read on, it may have responded before.
 				_ = conn.SetDeadline(time.Unix(1, 0))
 			}
-			conn.writeResult <- err
 		}()
 	}
 	res, err := c.readResponse(conn, req)
 	if err != nil {
 		return nil, err
 	}
-	res.Body = &responseBody{ReadCloser: res.Body, conn: conn, pool: &c.pool, idleTimeout: idleTimeout(res), sawEOF: res.ContentLength == 0}
+	body := &responseBody{ReadCloser: res.Body, conn: conn, pool: &c.pool, idleTimeout: idleTimeout(res), written: conn.written, sawEOF: res.ContentLength == 0}
+	if body.written == nil {
+		body.written = closedChannel
+	}
+	res.Body = body
 	return res, nil
 }
 
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -283,3 +283,30 @@
 		t.Errorf("read %d bytes with error %v after the body was closed", n, err)
 	}
 }
+
+// TestEarlyResponseBeforeAResetIsRead guards against losing a complete response because its target
+// has closed the connection instead of reading the rest of the request.
+func TestEarlyResponseBeforeAResetIsRead(t *testing.T) {
+	want := strings.Repeat("r", 20<<10)
+	at := startServer(t, func(c net.Conn) {
+		if readHead(c) {
+			writeResponse(c, "a", want)
+			time.Sleep(20 * time.Millisecond) // let the request fill the buffers
+		}
+	})
+	req, err := http.NewRequestWithContext(testContext(t), http.MethodPost, "http://target/x", strings.NewReader(strings.Repeat("b", 16<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Request-Id", "a")
+	res, err := NewClient(Config{Address: at, Verifier: requestIDVerifier{}}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	<-res.Body.(*responseBody).RequestWritten() // it has failed
+	got, err := io.ReadAll(res.Body)
+	if err != nil || string(got) != want {
+		t.Errorf("got a response of %d bytes, error %v; want %d bytes", len(got), err, len(want))
+	}
+}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -38,8 +38,10 @@
 	source        limitedReader // reads from Conn
 	reader        *bufio.Reader // reads from source, nil while the connection is idle
 	bytesWritten  atomic.Bool
-	used          bool       // a response has been read from it
-	writeResult   chan error // receives the result of a request that is written concurrently, nil if there is none
+	used          bool            // a response has been read from it
+	written       <-chan struct{} // closed when a request that is written concurrently is done, nil if there is none
+	writeErr      error           // result of that request, once written is closed
+	writeFailed   atomic.Bool     // the connection has failed a write
 	stopCancel    func() bool
 	reuseDeadline time.Time     // the connection is not reused from this time on
 	owner         *pool         // of an idle connection
@@ -96,6 +98,9 @@
 	if n == 0 && !before {
 		c.bytesWritten.Store(false)
 	}
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -218,6 +223,7 @@
 	conn        *connection
 	pool        *pool
 	idleTimeout time.Duration
+	written     <-chan struct{} // see RequestWritten
 	closed      bool
 	sawEOF      bool
 }
@@ -253,15 +259,28 @@
 	return nil
 }
 
+// closedChannel is the result of RequestWritten for a request that was written before its
+// response was read.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// RequestWritten returns a channel that is closed once the request has been written or has
+// failed. A target may respond before it has read the request: the response may end first.
+func (b *responseBody) RequestWritten() <-chan struct{} { return b.written }
+
 // requestWritten reports whether the request has been written completely.
 func (c *connection) requestWritten() bool {
-	if c.writeResult == nil {
+	if c.written == nil {
 		return true
 	}
 	select {
-	case err := <-c.writeResult:
-		c.writeResult = nil
-		return err == nil
+	case <-c.written:
+		ok := c.writeErr == nil
+		c.written, c.writeErr = nil, nil
+		return ok
 	default:
 		return false
 	}
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -18,6 +18,7 @@
 	h.Set(HeaderExecuted, v.Executed.String())
 	SetOutcome(h, "", Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
 	SetTargetLoad(h, v.Inputs.Load)
+	h["Content-Length"] = []string{"0"}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
