relay: a client that leaves is noticed while its long body is unread

Cause: net/http watches a connection for its end only once the body has been read to its end. A body of more than 64 KiB was left unread until an attempt sent it on. Between nodes, the end of a cancelled request was behind the bytes that the other node had not read.

Without the reset TestCancelledRequestWithUnreadBytesIsSeenAtOnce waits its 2 s.

Change: a long body is read ahead from its arrival, within a budget that all calls share (a sixteenth of the memory in the settings). A body that breaks off ends its call. Cancelled requests reset their connection.

Not met: with bodies of more than about 12 MB the end of the connection can stay in the client's kernel; the queued call then ends 2.1 to 2.3 s after the disconnect.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,6 +80,7 @@
 	Tracer                            Tracer
 	TargetClient                      http1.Config
 	NodeTransport                     http.RoundTripper // see relay.Config; must support trailers unless PlannedAdmission is set
+	ReadAheadBytes                    int64             // see relay.Config
 	MaxNodeConns                      int               // limit on connections from other nodes, 0 for none
 	// The durations below count from the start of draining.
 	ListenerGrace time.Duration // until the servers with StopFirst stop
@@ -128,7 +129,7 @@
 	a.session.SetSink(a.loop)
 	a.relay = relay.New(relay.Config{
 		Observer: a.observer, Loop: a.loop, Router: router, Dialect: c.NewDialect(router), Tracer: c.Tracer, Clock: boot,
-		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission,
+		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission, ReadAheadBytes: c.ReadAheadBytes,
 	})
 	a.registerGauges()
 	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{})), MaxConns: c.MaxNodeConns, Refusal: node.ConnectionRefusal()})
@@ -151,6 +152,7 @@
 	gauge("celeryshelf_target_queued", func(v core.Status) float64 { return float64(v.Gate.Queued) })
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
+	metrics.GetOrCreateGauge("celeryshelf_read_ahead_bytes", func() float64 { return float64(a.relay.BufferedBytes()) })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
 		return clock.BootTime{}.Now().Sub(v.ManifestConfirmedAt).Seconds()
 	})
@@ -233,7 +235,7 @@
 			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
 		}
 		a.open[s.Name] = l
-		s.Server.ConnState = l.ConnState
+		s.Server.ConnState, s.Server.ConnContext = l.ConnState, tcp.WithConn
 		group.Go(func() {
 			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.Name, err)
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -75,7 +75,7 @@
 
 // serve serves on a listener until the test ends.
 func serve(t *testing.T, l *tcp.Listener, s *http.Server) {
-	s.ConnState = l.ConnState
+	s.ConnState, s.ConnContext = l.ConnState, tcp.WithConn
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/control"
 	"celeryshelf/io/node"
+	"celeryshelf/io/tcp"
 )
 
 // Router matches requests to routes and returns the limits on requests, both by the same
@@ -62,19 +64,29 @@
 	// After any other error the call may have been executed.
 	TargetTransport, NodeTransport http.RoundTripper
 	OutcomeTrailers                bool // return the outcome of each call to the sending node in trailers
+	// ReadAheadBytes limits the bytes of long bodies that are read before the target reads them,
+	// for all calls together. 0 stands for DefaultReadAheadBytes.
+	ReadAheadBytes int64
 }
 
 // Relay forwards the calls of one node.
 type Relay struct {
 	Config
 	cache *responseCache
+	ahead *readAhead
 }
 
 // New returns a relay.
 func New(c Config) *Relay {
-	return &Relay{Config: c, cache: newResponseCache()}
+	if c.ReadAheadBytes == 0 {
+		c.ReadAheadBytes = DefaultReadAheadBytes
+	}
+	return &Relay{Config: c, cache: newResponseCache(), ahead: &readAhead{total: c.ReadAheadBytes}}
 }
 
+// BufferedBytes returns how much of its budget for long bodies the relay uses, in bytes.
+func (r *Relay) BufferedBytes() int64 { return r.ahead.used.Load() }
+
 // CallHandler returns the handler for calls that enter the fleet at this node, from
 // callers or from the local target.
 func (r *Relay) CallHandler(origin core.Origin) http.Handler {
@@ -132,10 +144,7 @@
 		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID,
 	}
 	if body.stream != nil {
-		// Without it, net/http reads from the body itself when the response begins.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-		defer body.stream.stop()
-		go body.stream.run()
+		defer x.startStream()()
 	}
 	began := time.Now()
 	x.call = r.Loop.BeginCall(a)
@@ -148,6 +157,23 @@
 	x.discardUpload()
 }
 
+// startStream starts to read the streamed body of a call and returns the function that ends it. If
+// the body breaks off, the context of the call ends.
+func (x *exchange) startStream() (stop func()) {
+	// Without it, net/http reads from the body itself when the response begins.
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	ctx, cancel := context.WithCancel(x.ctx)
+	connection := x.ctx
+	x.ctx = ctx
+	s := x.body.stream
+	s.config = streamConfig{
+		budget: x.ahead, onRequest: x.req.Header.Get("Expect") != "",
+		senderLeft: func() bool { return tcp.PeerClosed(connection) }, failed: cancel,
+	}
+	go s.run()
+	return func() { s.stop(); cancel() }
+}
+
 // open checks the size of a request and prepares its body. It returns the reason for
 // which the request is refused, or ReasonNone.
 func (r *Relay) open(req *http.Request, limits manifest.Limits) (body, core.Reason) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -45,7 +45,9 @@
 	// refused. It is below one half because the platform does not count a request as lost if
 	// it was sent in the first half of that time and its target still works on it in the last
 	// sixth. It counts requests that were sent later.
-	callerGraceRatio  = 0.45
+	callerGraceRatio = 0.45
+	// readAheadDivisor is the part of the memory for bodies that are read ahead of their target.
+	readAheadDivisor  = 16
 	readHeaderTimeout = 5 * time.Second
 	// maxLocalHeaderBytes limits the heads of heartbeats, probes and requests for metrics.
 	maxLocalHeaderBytes = 16 << 10
@@ -97,7 +99,7 @@
 		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
-		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes,
+		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes, ReadAheadBytes: int64(s.MemoryMiB) * (1 << 20) / readAheadDivisor,
 		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect, Idle: idle, MaxHeadBytes: s.MaxHeadBytes},
 		ListenerGrace: listenerGrace, TargetGrace: listenerGrace, CallerGrace: time.Duration(callerGraceRatio * float64(s.StopTimeout.Duration)), DrainTimeout: time.Duration(drainTimeoutRatio * float64(s.StopTimeout.Duration)),
 	})
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -96,7 +96,7 @@
 	res, err := c.exchange(conn, req)
 	if err != nil {
 		conn.stopCancel()
-		_ = conn.Close()
+		_ = conn.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"celeryshelf/io/tcp"
 )
 
 // startServer starts a server that handles the n-th connection with the n-th function.
@@ -310,3 +312,29 @@
 		t.Errorf("got a response of %d bytes, error %v; want %d bytes", len(got), err, len(want))
 	}
 }
+
+// TestCancelledRequestWithUnreadBytesIsSeenAtOnce guards against a cancelled request whose end its
+// peer does not see, because bytes before it have not been read (review/5).
+func TestCancelledRequestWithUnreadBytesIsSeenAtOnce(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	begun, cancelled, seen := make(chan struct{}), make(chan struct{}), make(chan time.Duration, 1)
+	at := startServer(t, func(c net.Conn) {
+		readHead(c)
+		time.Sleep(100 * time.Millisecond) // the request fills the buffers
+		close(begun)
+		<-cancelled
+		start := time.Now()
+		for ctx := tcp.WithConn(context.Background(), c); !tcp.PeerClosed(ctx) && time.Since(start) < 4*bound; {
+			time.Sleep(time.Millisecond)
+		}
+		seen <- time.Since(start)
+	})
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() { <-begun; cancel(); close(cancelled) }()
+	if _, err := roundTrip(ctx, NewClient(Config{Address: at}), "a", strings.NewReader(strings.Repeat("b", 64<<20))); !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v, want %v", err, context.Canceled)
+	}
+	if took := <-seen; took > bound {
+		t.Errorf("the peer saw the end after %s, want at most %s", took, bound)
+	}
+}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -242,14 +242,17 @@
 
 // Close returns the connection to the pool if the request was not cancelled and was
 // written completely, the response was read completely, and no data follows it.
-// Otherwise it closes the connection.
+// Otherwise it closes the connection, with a reset if the exchange is incomplete.
 func (b *responseBody) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	c := b.conn
-	if !c.stopCancel() || !b.sawEOF || b.idleTimeout <= 0 || !c.requestWritten() || c.reader.Buffered() > 0 {
+	if !c.stopCancel() || !b.sawEOF || !c.requestWritten() {
+		return c.abort()
+	}
+	if b.idleTimeout <= 0 || c.reader.Buffered() > 0 {
 		return c.Close()
 	}
 	now := time.Now()
@@ -271,6 +274,15 @@
 // failed. A target may respond before it has read the request: the response may end first.
 func (b *responseBody) RequestWritten() <-chan struct{} { return b.written }
 
+// abort closes the connection with a reset. An ordinary end would follow the bytes that the peer
+// has not read yet, so that it would not learn that the request is cancelled.
+func (c *connection) abort() error {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // requestWritten reports whether the request has been written completely.
 func (c *connection) requestWritten() bool {
 	if c.written == nil {
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,6 +9,8 @@
 	"sync"
 	"syscall"
 	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 // conn is a TCP connection whose reads and writes use raw system calls. The sockets are
@@ -140,6 +143,39 @@
 	return err == nil && quiet
 }
 
+// connKey is the key of a connection in a context.
+type connKey struct{}
+
+// WithConn returns a context that holds a connection. It is the ConnContext function of servers
+// whose handlers use PeerClosed.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// PeerClosed reports whether the peer of the connection that the context holds has closed it or
+// has shut down its sending side, also if bytes that it sent before are unread.
+func PeerClosed(ctx context.Context) bool {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if s, ok := c.(*serverConn); ok {
+		c = s.Conn
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		closed = err == nil && n > 0
+	})
+	return closed || err != nil
+}
+
 // peek returns the number of bytes that can be read, at most 1, without reading them.
 func peek(fd uintptr) (int, syscall.Errno) {
 	var b [1]byte
