--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"celeryshelf/io/tcp"
 )
 
 // startServer starts a server that handles the n-th connection with the n-th function.
@@ -283,3 +285,56 @@
 		t.Errorf("read %d bytes with error %v after the body was closed", n, err)
 	}
 }
+
+// TestEarlyResponseBeforeAResetIsRead guards against losing a complete response because its target
+// has closed the connection instead of reading the rest of the request.
+func TestEarlyResponseBeforeAResetIsRead(t *testing.T) {
+	want := strings.Repeat("r", 20<<10)
+	at := startServer(t, func(c net.Conn) {
+		if readHead(c) {
+			writeResponse(c, "a", want)
+			time.Sleep(20 * time.Millisecond) // let the request fill the buffers
+		}
+	})
+	req, err := http.NewRequestWithContext(testContext(t), http.MethodPost, "http://target/x", strings.NewReader(strings.Repeat("b", 16<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Request-Id", "a")
+	res, err := NewClient(Config{Address: at, Verifier: requestIDVerifier{}}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	<-res.Body.(*responseBody).RequestWritten() // it has failed
+	got, err := io.ReadAll(res.Body)
+	if err != nil || string(got) != want {
+		t.Errorf("got a response of %d bytes, error %v; want %d bytes", len(got), err, len(want))
+	}
+}
+
+// TestCancelledRequestWithUnreadBytesIsSeenAtOnce guards against a cancelled request whose end its
+// peer does not see, because bytes before it have not been read (review/5).
+func TestCancelledRequestWithUnreadBytesIsSeenAtOnce(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	begun, cancelled, seen := make(chan struct{}), make(chan struct{}), make(chan time.Duration, 1)
+	at := startServer(t, func(c net.Conn) {
+		readHead(c)
+		time.Sleep(100 * time.Millisecond) // the request fills the buffers
+		close(begun)
+		<-cancelled
+		start := time.Now()
+		for ctx := tcp.WithConn(context.Background(), c); !tcp.PeerClosed(ctx) && time.Since(start) < 4*bound; {
+			time.Sleep(time.Millisecond)
+		}
+		seen <- time.Since(start)
+	})
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() { <-begun; cancel(); close(cancelled) }()
+	if _, err := roundTrip(ctx, NewClient(Config{Address: at}), "a", strings.NewReader(strings.Repeat("b", 64<<20))); !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v, want %v", err, context.Canceled)
+	}
+	if took := <-seen; took > bound {
+		t.Errorf("the peer saw the end after %s, want at most %s", took, bound)
+	}
+}
