core/admit: the gate limits the rate of arrivals

A cold target crashes at a rate far above what it tolerates; the gate only bounds concurrent calls, of which a fast target takes hundreds per second.

Gate.SetRateLimit bounds the calls that start within any second, exactly: it keeps the starts of the last second, also those from before the limit was set. Calls wait in the queue for up to a quarter of their remaining time, higher ranks first, and are refused otherwise. No limit is set yet.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -56,6 +56,7 @@
 	Limit       float64
 	Running     int
 	Queued      int
+	HeldBack    int           // queued calls while the rate limit applies and slots are free
 	ServiceTime time.Duration // mean time from start to response
 }
 
@@ -71,9 +72,11 @@
 type Gate struct {
 	limiter
 	fairShares
+	arrivals    arrivals
 	running     int
 	queue       []Call
 	serviceTime time.Duration // moving average from start to response
+	usualTime   time.Duration // the same average, which does not decay without calls
 	openedAt    time.Time     // time of the first offered call
 	slots       int           // declared by the target, less the headroom; 0 if not declared
 
@@ -88,7 +91,11 @@
 
 // Stats returns a snapshot of the gate's state.
 func (g *Gate) Stats() Stats {
-	return Stats{Limit: g.limit, Running: g.running, Queued: len(g.queue), ServiceTime: g.serviceTime}
+	s := Stats{Limit: g.limit, Running: g.running, Queued: len(g.queue), ServiceTime: g.serviceTime}
+	if g.arrivals.limit > 0 && g.running < int(g.limit) {
+		s.HeldBack = len(g.queue)
+	}
+	return s
 }
 
 // HasQueued reports whether any call is queued.
@@ -133,15 +140,19 @@
 		return Refused, Call{}
 	}
 	g.queueEmptied = g.queueEmptied || len(g.queue) == 0
-	if len(g.queue) == 0 && g.running < g.currentLimit(now) {
-		g.start(h)
+	if len(g.queue) == 0 && g.running < g.currentLimit(now) && g.arrivals.wait(now, 0) == 0 {
+		g.start(now, h)
 		return Admitted, Call{}
 	}
-	if len(g.queue) < g.queueCapacity() {
+	full := len(g.queue) >= g.queueCapacity()
+	if !full && !g.outwaits(now, c, len(g.queue)) {
 		g.enqueue(c, h)
 		return Queued, Call{}
 	}
-	g.rejected = true
+	g.rejected = g.rejected || full
+	if len(g.queue) == 0 || g.outwaits(now, c, len(g.queue)-1) {
+		return Refused, Call{}
+	}
 	worst := g.lowestRanked()
 	if !g.before(c, h, g.queue[worst], g.byWorkspace[g.queue[worst].Workspace]) {
 		return Refused, Call{}
@@ -171,10 +182,11 @@
 	return left <= 0 || left < time.Duration(minMeanRatio*float64(g.serviceTime))
 }
 
-// Next removes the highest-ranked queued call, if a slot is free, and starts it. If the
+// Next removes the highest-ranked queued call, if a slot is free and the rate limit allows it,
+// and starts it. If the
 // call can no longer meet its deadline, it is not started and dropped is true.
 func (g *Gate) Next(now time.Time) (c Call, dropped, ok bool) {
-	if len(g.queue) == 0 || g.running >= g.currentLimit(now) {
+	if len(g.queue) == 0 || g.running >= g.currentLimit(now) || g.arrivals.wait(now, 0) > 0 {
 		return Call{}, false, false
 	}
 	best := 0
@@ -187,7 +199,7 @@
 	if g.MissesDeadline(now, c) {
 		return c, true, true
 	}
-	g.start(g.shareOf(c.Workspace, c.Weight))
+	g.start(now, g.shareOf(c.Workspace, c.Weight))
 	return c, false, true
 }
 
@@ -262,6 +274,10 @@
 	if g.serviceTime == 0 {
 		g.serviceTime = c.TotalTime
 	}
+	if g.usualTime == 0 {
+		g.usualTime = c.TotalTime
+	}
+	g.usualTime += time.Duration(serviceTimeWeight * float64(c.TotalTime-g.usualTime))
 	g.serviceTime += time.Duration(serviceTimeWeight * float64(c.TotalTime-g.serviceTime))
 }
 
@@ -287,7 +303,8 @@
 }
 
 // start takes a slot for a call of a workspace and advances the workspace's virtual time.
-func (g *Gate) start(h *workspaceShare) {
+func (g *Gate) start(now time.Time, h *workspaceShare) {
+	g.arrivals.record(now)
 	g.running++
 	g.peakRunning = max(g.peakRunning, g.running)
 	h.virtualTime = max(h.virtualTime, g.virtualTime) + 1/h.weight
