--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -46,6 +46,10 @@
 // Service is a set of interchangeable targets.
 type Service struct {
 	Name string `json:"name"`
+	// ColdRate is the number of calls per second that a target tolerates while it is cold,
+	// 0 for any number. ColdDuration is how long it is cold after its start.
+	ColdRate     float64  `json:"coldrate,omitempty"`
+	ColdDuration Duration `json:"coldtime,omitzero"`
 }
 
 // Route maps the requests for a host, method and path to a service.
--- a/core/manifest/validate.go
+++ b/core/manifest/validate.go
@@ -11,6 +11,7 @@
 const (
 	MaxRetryBudget = 8
 	MaxTimeout     = 5 * time.Minute
+	MaxColdTime    = time.Hour
 	MinBurstWindow = 100 * time.Millisecond // a burst must hold at least the calls of this time at the full rate
 )
 
@@ -73,7 +74,14 @@
 func (v *validator) checkServices(list []Service) map[string]bool {
 	names := map[string]bool{}
 	for i, s := range list {
-		v.checkName(names, fmt.Sprintf("/services/%d/name", i), s.Name)
+		path := fmt.Sprintf("/services/%d", i)
+		v.checkName(names, path+"/name", s.Name)
+		if s.ColdRate < 0 {
+			v.addf(path+"/coldrate", "must not be less than 0")
+		}
+		if d := s.ColdDuration.Duration; d < 0 || d > MaxColdTime {
+			v.addf(path+"/coldtime", "must be between 0 and %s", MaxColdTime)
+		}
 	}
 	return names
 }
