core/route, core/member: senders give a cold target a share that fits its rate

A sender that treats a cold target like the others has most of its calls refused there, at the cost of a round trip each. The announcement says for how long the target stays cold; each sender then sends it the part of its usual calls that the rate allows, rising to all over the time after it. If no other endpoint is ready, the cold ones are used.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -23,6 +23,7 @@
 	Slots            int            `json:"slots,omitempty"`   // calls the target runs concurrently, 0 if unknown
 	TargetStartMilli int64          `json:"began,omitempty"`   // start of the target, Unix time in milliseconds
 	TargetLeaving    bool           `json:"leaving,omitempty"` // the target with that start has announced that it leaves, or has deregistered
+	ColdFor          time.Duration  `json:"cold,omitempty"`    // time for which the target stays cold after the announcement
 }
 
 // Limits on the values in an announcement. They are far above what a fleet uses, and keep
@@ -33,6 +34,7 @@
 	MaxSlots = 1 << 20
 	// maxCounter leaves room above the counter of a foreign announcement of the own name.
 	maxCounter = 1 << 63
+	maxColdFor = 24 * time.Hour
 )
 
 // Validate returns an error that names the first field with a value that no node announces.
@@ -56,6 +58,9 @@
 	if m.Slots < 0 || m.Slots > MaxSlots {
 		return fmt.Errorf("slots are %d, want 0 to %d", m.Slots, MaxSlots)
 	}
+	if m.ColdFor < 0 || m.ColdFor > maxColdFor {
+		return fmt.Errorf("target is cold for %s, want 0 to %s", m.ColdFor, maxColdFor)
+	}
 	if m.Incarnation >= maxCounter || m.Revision >= maxCounter {
 		return fmt.Errorf("incarnation %d or revision %d is out of range", m.Incarnation, m.Revision)
 	}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -42,6 +42,13 @@
 	Unreachable      bool  // see member.Peer
 	Slots            int   // calls the target runs concurrently, 0 if unknown
 	TargetStartMilli int64 // Unix time in ms of the target's start; a change triggers slow start
+	// Revision orders the announcements of the endpoint. ColdFor is the time, from the first
+	// Put with this revision on, for which the target tolerates only ColdRate calls per second
+	// (0: any number). After it the rate rises to the full one over RampDuration.
+	Revision     uint64
+	ColdFor      time.Duration
+	ColdRate     float64
+	RampDuration time.Duration
 
 	inFlight       int     // calls from this node that have not ended
 	load           float64 // running and queued calls divided by the concurrency limit, as last reported
@@ -51,6 +58,8 @@
 	failures       int           // failed connects in a row
 	pausedUntil    time.Time     // no new calls before
 	slowStartAt    time.Time     // when slow start began
+	coldUntil      time.Time     // end of the cold period, zero if none was announced
+	usualLatency   time.Duration // of the service's endpoints when the cold period was announced
 }
 
 // ready reports whether the endpoint can be given a call now.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -46,6 +46,7 @@
 		existing.NodeAddr, existing.Domain = e.NodeAddr, e.Domain
 		existing.Draining, existing.Unreachable = e.Draining, e.Unreachable
 		existing.Slots = e.Slots
+		existing.updateCold(now, &e, s)
 		if restarted || existing.TargetStartMilli != e.TargetStartMilli {
 			existing.TargetStartMilli = e.TargetStartMilli
 			existing.latency, existing.failures = 0, 0
@@ -54,6 +55,8 @@
 		return
 	}
 	added := e
+	added.Revision = e.Revision - 1 // lets updateCold apply the announcement
+	added.updateCold(now, &e, s)
 	added.slowStartAt = now
 	if len(s.all) == 0 || e.Local {
 		added.slowStartAt = now.Add(-slowStartDuration)
@@ -86,13 +89,21 @@
 // Pick chooses an endpoint of a service that is not excluded for a call: the cheapest of
 // two chosen by the seed and one of the node's own domain. It prefers ready endpoints of
 // the subset, then any ready endpoint, then any that is not draining, as an endpoint
-// may be wrongly considered unreachable. It returns nil if there is none.
+// may be wrongly considered unreachable. A cold endpoint is ready only for its share of the
+// calls, as long as there are others. It returns nil if there is none.
 func (t *Table) Pick(now time.Time, service string, seed uint64, excluded []string) *Endpoint {
 	s, ok := t.services[service]
 	if !ok {
 		return nil
 	}
 	ready := func(e *Endpoint) bool { return !slices.Contains(excluded, e.Name) && e.ready(now) }
+	inShare := func(e *Endpoint) bool { return ready(e) && (e.coldUntil.IsZero() || e.inColdShare(now, seed)) }
+	if e := t.pickFrom(now, s.subset, seed, inShare); e != nil {
+		return e
+	}
+	if e := t.pickFrom(now, s.all, seed, inShare); e != nil {
+		return e
+	}
 	if e := t.pickFrom(now, s.subset, seed, ready); e != nil {
 		return e
 	}
