core, platform: cold targets are given calls at the rate that they tolerate

Cause: nothing used the remaining cold time that heartbeats and responses carry.

The node beside the target keeps its warm-up by heartbeats, by the header Cold-Milliseconds of responses, and by what it knows itself: a target that opens, another instance, and one that could not be connected to are cold until a later report. The gate's rate limit follows; requests answered with 421 do not count. Calls over the rate wait or are refused as not executed (target-cold) and placed elsewhere without retry budget. The load report counts the capacity at the limited rate, so that the plan refuses what the others cannot take.

The setting warmup (overshoot, slack) turns it on; without it, or without a rate in the manifest, nothing changes. Notices target-cold, target-ramping, target-warm; gauges celeryshelf_target_cold_seconds and celeryshelf_target_held_back.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -94,14 +94,14 @@
 	case admit.Queued:
 		c.phase = phaseQueued
 	case admit.Refused:
-		reason := ReasonOverloaded
+		reason := s.gateRefusal(now)
 		if s.gate.MissesDeadline(now, offered) {
 			reason = ReasonDeadlineExceeded
 		}
 		s.handleGateRejection(now, c, reason)
 	}
 	if evicted.ID != 0 {
-		s.handleGateRejection(now, s.calls[CallID(evicted.ID)], ReasonOverloaded)
+		s.handleGateRejection(now, s.calls[CallID(evicted.ID)], s.gateRefusal(now))
 	}
 }
 
@@ -216,7 +216,9 @@
 
 // isRedirect reports whether a refusal means only that the call was sent to the
 // wrong endpoint. Another attempt then costs no target any work.
-func isRedirect(reason Reason) bool { return reason == ReasonDraining || reason == ReasonWrongTarget }
+func isRedirect(reason Reason) bool {
+	return reason == ReasonDraining || reason == ReasonWrongTarget || reason == ReasonTargetCold
+}
 
 // handleAttemptFailed handles an attempt that produced no response.
 func (s *State) handleAttemptFailed(now time.Time, e *AttemptFailed) {
@@ -233,6 +235,8 @@
 		c.excluded = append(c.excluded, c.endpoint.Name)
 	}
 	c.recordEndpointLoad(now, e.Load)
+	s.observeResponse(now, c, e.Report)
+	s.observeFailure(now, c, e.Cause)
 	local := c.phase == phaseRunning
 	if local {
 		s.gate.Complete(s.completion(now, c, e.Cause == CauseTargetOverloaded, false))
@@ -312,6 +316,7 @@
 		return
 	}
 	c.level = max(c.level, e.Level)
+	s.observeResponse(now, c, e.Report)
 	switch c.phase {
 	case phaseRunning:
 		s.gate.Complete(s.completion(now, c, e.Overloaded, e.Complete && !e.Failed))
--- a/core/call.go
+++ b/core/call.go
@@ -194,7 +194,7 @@
 	delay := retryAfterShare * float64(objective) * (1 - retryAfterSpread/2 + retryAfterSpread*random)
 	short := min(maxRetryAfter, max(minRetryAfter, time.Duration(delay)))
 	switch reason {
-	case ReasonOverQuota, ReasonShed, ReasonOverloaded, ReasonNoEndpoint, ReasonAttemptFailed, ReasonDraining, ReasonDeadlineExceeded:
+	case ReasonOverQuota, ReasonShed, ReasonOverloaded, ReasonNoEndpoint, ReasonAttemptFailed, ReasonDraining, ReasonDeadlineExceeded, ReasonTargetCold:
 		return short
 	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated:
 		return longRetryFactor * short
--- a/core/effect.go
+++ b/core/effect.go
@@ -85,6 +85,7 @@
 	ReasonBadBody                     // the request ended before its body was complete
 	ReasonBodyTooLarge                // the body exceeds the limit in the manifest
 	ReasonHeaderTooLarge              // the headers exceed the limit in the manifest
+	ReasonTargetCold                  // the target is cold and has received as many calls as it may for now
 )
 
 // Verdict is the decision on one call.
@@ -197,6 +198,9 @@
 	NoticeDepartureRecalled
 	NoticeEvacuationStarted
 	NoticeEvacuationEnded
+	NoticeTargetCold
+	NoticeTargetRamping
+	NoticeTargetWarm
 )
 
 // Notice is an event for the operators' log.
--- a/core/event.go
+++ b/core/event.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 )
 
 // CallID identifies a call at one node. It is the span ID of the call's hop.
@@ -91,6 +92,7 @@
 	Level          admit.Level // admission level reported downstream
 	UnspentRetries int         // unused part of the forwarded retry budget
 	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallFinished reports that a call has ended and its response has been passed on.
@@ -102,6 +104,7 @@
 	Level          admit.Level // admission level reported downstream
 	UnspentRetries int         // unused part of the forwarded retry budget
 	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallCanceled reports that the sender has abandoned the call.
@@ -116,6 +119,7 @@
 type SettingsChanged struct {
 	MaxStaleness time.Duration      // see Settings
 	RetryLimit   retry.ServiceLimit // see Settings
+	WarmupBound  warmup.Bound       // see Settings
 }
 
 // DrainRequested starts the drain of the node.
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -61,6 +61,7 @@
 	childCalls     map[string]int                 // on table, by route
 	completedRuns  map[string]int                 // by route
 	onStoreRequest func(node int, r StoreRequest) // called for each request to the store
+	onRun          func(node int)                 // called for each call that reaches a target
 	namesParent    bool                           // calls made by targets carry the ID of the call that made them
 }
 
@@ -209,6 +210,9 @@
 	case ActionForward:
 		m.after(simHopLatency, func() { m.forward(v, hop) })
 	case ActionRun:
+		if m.onRun != nil {
+			m.onRun(i)
+		}
 		m.runHop(i, v.Call, hop)
 	case ActionReplay, ActionDeliver, ActionSettle:
 	}
--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -143,6 +143,7 @@
 	}
 	s.manifest = newManifestIndex(v)
 	s.applyAllowances(now)
+	s.configureWarmup(now)
 	s.self.ManifestVersion = v.Version
 	s.effects.NewManifest = &s.manifest.source
 	s.addNotice(Notice{Kind: NoticeManifestActive, Version: v.Version})
--- a/core/names.go
+++ b/core/names.go
@@ -7,7 +7,7 @@
 	ReasonNoEndpoint: "no-endpoint", ReasonDeadlineExceeded: "deadline", ReasonDraining: "draining",
 	ReasonRetryBudgetExhausted: "budget-spent", ReasonAttemptFailed: "attempt-failed", ReasonDuplicate: "duplicate",
 	ReasonWrongTarget: "wrong-target", ReasonIsolated: "isolated", ReasonBadBody: "bad-body", ReasonBodyTooLarge: "body-too-large",
-	ReasonHeaderTooLarge: "header-too-large",
+	ReasonHeaderTooLarge: "header-too-large", ReasonTargetCold: "target-cold",
 }
 
 // String returns the reason's name in messages and logs.
@@ -57,6 +57,7 @@
 	NoticeMemberRejected: "member-refused", NoticeMessageRejected: "message-refused",
 	NoticeDepartureRecalled: "departure-recalled",
 	NoticeEvacuationStarted: "evacuation-started", NoticeEvacuationEnded: "evacuation-ended",
+	NoticeTargetCold: "target-cold", NoticeTargetRamping: "target-ramping", NoticeTargetWarm: "target-warm",
 }
 
 // String returns the notice's name in logs.
--- a/core/planning.go
+++ b/core/planning.go
@@ -101,15 +101,22 @@
 	case s.evacuated(s.self.Domain):
 		r.Load = plan.Load{Service: s.self.Service, Evacuated: true}
 	case !s.self.TargetClosed:
-		r.Load = plan.Load{
-			Service: s.self.Service, Slots: float64(s.gate.Limit()),
-			Busy: p.busySlotSeconds / elapsed.Seconds(), Queued: p.queuedSlotSeconds / elapsed.Seconds(),
-		}
+		r.Load = s.targetLoad(elapsed)
 	}
 	p.reportedAt, p.busySlotSeconds, p.queuedSlotSeconds = now, 0, 0
 	s.sendReport(now, r)
 }
 
+// targetLoad returns the load of the local target over the time since the last report. The
+// capacity of a cold target counts as small.
+func (s *State) targetLoad(elapsed time.Duration) plan.Load {
+	p := &s.planning
+	return plan.Load{
+		Service: s.self.Service, Slots: s.gate.Capacity(),
+		Busy: p.busySlotSeconds / elapsed.Seconds(), Queued: p.queuedSlotSeconds / elapsed.Seconds(),
+	}
+}
+
 // sendReport passes a report to the planner. A planner that has not answered for
 // plannerTimeout is skipped for planTTL. If this node is the planner, it updates the plan and
 // applies it.
--- a/core/state.go
+++ b/core/state.go
@@ -13,6 +13,7 @@
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
 	"celeryshelf/core/route"
+	"celeryshelf/core/warmup"
 )
 
 // Settings configures a State.
@@ -40,6 +41,9 @@
 	// Evacuation is the time after which no call may reach the targets of an evacuated domain,
 	// 0 if domains cannot be evacuated.
 	Evacuation time.Duration
+	// WarmupBound bounds the calls that the local target receives while it is cold. The zero
+	// value sets no bound.
+	WarmupBound warmup.Bound
 }
 
 // State holds everything that the decisions of one node depend on.
@@ -76,6 +80,7 @@
 	drainEnd            time.Time // end of all calls while draining, zero if unlimited
 	plannedAdmission    bool
 	target              targetState
+	warmup              warmupState
 
 	planning     planning
 	watch        watch
@@ -100,7 +105,7 @@
 
 // New returns the initial state of a node.
 func New(settings Settings) *State {
-	return &State{
+	s := &State{
 		self:               settings.Self,
 		seedAddresses:      settings.SeedAddresses,
 		random:             rand.New(rand.NewPCG(settings.RandomSeed, 0)),
@@ -124,6 +129,8 @@
 		plannedAdmission:   settings.PlannedAdmission,
 		watch:              watch{electionEnabled: settings.ElectWatchers, active: !settings.ElectWatchers},
 	}
+	s.warmup.target.SetBound(settings.WarmupBound)
+	return s
 }
 
 // Step applies one event to the state and returns the resulting effects, which are valid
@@ -136,6 +143,7 @@
 	if s.plannedAdmission {
 		s.accumulateLoad(now)
 	}
+	s.updateWarmup(now)
 	switch e := e.(type) {
 	case *CallArrived:
 		s.handleCallArrived(now, e)
@@ -154,6 +162,7 @@
 	case *SettingsChanged:
 		s.maxStaleness = e.MaxStaleness
 		s.retryLimiter.SetLimit(e.RetryLimit)
+		s.setWarmupBound(now, e.WarmupBound)
 	case *DrainRequested:
 		s.startDrain(now, e)
 	case *HeartbeatReceived:
@@ -178,10 +187,12 @@
 
 // endpoint converts a member to the routing table's representation.
 func (s *State) endpoint(m member.Member, unreachable bool) route.Endpoint {
+	profile := s.serviceProfile(m.Service)
 	return route.Endpoint{
 		Name: m.Name, Service: m.Service, Domain: m.Domain, NodeAddr: m.NodeAddr,
 		Local: m.Name == s.self.Name, Draining: m.TargetClosed || s.evacuated(m.Domain), Unreachable: unreachable,
 		Slots: m.Slots, TargetStartMilli: m.TargetStartMilli,
+		Revision: m.Revision, ColdFor: m.ColdFor, ColdRate: profile.Rate, RampDuration: profile.Duration,
 	}
 }
 
@@ -212,6 +223,8 @@
 	// the newest version.
 	ManifestConfirmedAt time.Time
 	Evacuations         EvacuationStatus
+	// ColdUntil is the end of the local target's last cold period, zero if there was none.
+	ColdUntil time.Time
 }
 
 // Ready reports whether the node accepts calls: it has a manifest that is not stale and is
@@ -233,5 +246,6 @@
 
 		ManifestConfirmedAt: s.manifestConfirmedAt,
 		Evacuations:         s.evacuationStatus(),
+		ColdUntil:           s.warmup.target.End(),
 	}
 }
--- a/core/target.go
+++ b/core/target.go
@@ -83,7 +83,9 @@
 	t, h := &s.target, e.Heartbeat
 	if !t.heartbeatReceived || h.newerThan(t.last) {
 		t.departed = h.Draining || t.departures.includes(now, h)
+		opens := s.self.TargetClosed || h.StartUnixMilli != t.last.StartUnixMilli || h.InstanceID != t.last.InstanceID
 		t.last, t.heartbeatReceived = h, true
+		s.observeHeartbeat(now, h, opens)
 		s.updateTarget(now)
 	}
 	if h.Draining {
@@ -112,7 +114,7 @@
 	before := s.self
 	t := &s.target
 	s.self.TargetClosed, s.self.Slots, s.self.TargetStartMilli = !t.available(), t.last.Slots, t.last.StartUnixMilli
-	s.self.TargetLeaving = t.departed
+	s.self.TargetLeaving, s.self.ColdFor = t.departed, s.coldAnnouncement(now)
 	if s.self == before {
 		return
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"celeryshelf/core"
 	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 	"celeryshelf/internal/clock"
 	"celeryshelf/internal/control"
 	"celeryshelf/internal/relay"
@@ -72,6 +73,7 @@
 	ElectWatchers                     bool               // see core.Settings
 	RetryLimit                        retry.ServiceLimit // see core.Settings
 	Evacuation                        time.Duration      // see core.Settings
+	WarmupBound                       warmup.Bound       // see core.Settings
 	Logger                            *slog.Logger
 	Store                             store.Client
 	Layout                            store.Layout
@@ -120,7 +122,7 @@
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation,
+			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation, WarmupBound: c.WarmupBound,
 		}),
 		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot,
 	})
@@ -149,6 +151,13 @@
 	gauge("celeryshelf_calls", func(v core.Status) float64 { return float64(v.Calls) })
 	gauge("celeryshelf_target_running", func(v core.Status) float64 { return float64(v.Gate.Running) })
 	gauge("celeryshelf_target_queued", func(v core.Status) float64 { return float64(v.Gate.Queued) })
+	gauge("celeryshelf_target_held_back", func(v core.Status) float64 { return float64(v.Gate.HeldBack) })
+	gauge("celeryshelf_target_cold_seconds", func(v core.Status) float64 {
+		if v.ColdUntil.IsZero() {
+			return 0
+		}
+		return max(0, v.ColdUntil.Sub(clock.BootTime{}.Now()).Seconds())
+	})
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -135,12 +135,21 @@
 		}
 	}
 	if declined, ran := x.Dialect.ParseTargetRefusal(res); declined && x.reportsRefusal(ran) {
-		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran})
+		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran, Report: x.targetReport(res)})
 		return true
 	}
 	return x.deliverResponse(ctx)
 }
 
+// targetReport returns what a response says of the local target, and nothing for a response
+// that another node has passed on.
+func (x *exchange) targetReport(res *http.Response) core.TargetReport {
+	if x.verdict.Action != core.ActionRun {
+		return core.TargetReport{}
+	}
+	return x.Dialect.ParseTargetReport(res)
+}
+
 // reportsRefusal reports whether a refusal by the target goes to the control loop instead
 // of to the sender. At the node at which the call entered, it does if the request can be
 // sent again. If the call may have been executed, only that node may try another target,
@@ -288,6 +297,7 @@
 		Failed:     res.StatusCode >= http.StatusInternalServerError,
 		Overloaded: res.StatusCode == http.StatusServiceUnavailable,
 		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: node.GetTargetLoad(res.Header),
+		Report: x.targetReport(res),
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -46,7 +46,9 @@
 	// MaxHeadBytes limits the head of a response of the target, in bytes.
 	MaxHeadBytes int          `json:"head,omitzero"`
 	Retry        SidecarRetry `json:"retry"`
-	Log          Log          `json:"log"`
+	// Warmup bounds the calls that a cold target receives. Without it, none are held back.
+	Warmup *SidecarWarmup `json:"warmup,omitempty"`
+	Log    Log            `json:"log"`
 }
 
 // Defaults and least values of settings that may be left out.
@@ -102,6 +104,13 @@
 	Slack  float64           `json:"slack"`  // extra arrivals per window that are allowed in addition
 }
 
+// SidecarWarmup bounds the calls that a cold target receives in any second: Overshoot times
+// the rate in the manifest, plus Slack.
+type SidecarWarmup struct {
+	Overshoot float64 `json:"overshoot"` // at least 1
+	Slack     float64 `json:"slack"`     // calls
+}
+
 // ReadSidecar reads and validates a settings file. A *manifest.ValidationError lists the
 // violations.
 func ReadSidecar(file string) (*Sidecar, error) {
@@ -221,5 +230,8 @@
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		add("/retry", "ratio and slack must not be less than 0")
 	}
+	if w := s.Warmup; w != nil && (w.Overshoot < 1 || w.Slack < 0) {
+		add("/warmup", "overshoot must be at least 1 and slack must not be less than 0")
+	}
 	return violations
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"celeryshelf/core"
 	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 	"celeryshelf/internal/agent"
 	"celeryshelf/internal/logging"
 	"celeryshelf/internal/relay"
@@ -92,7 +93,7 @@
 			NodeAddr: nodeAddr, ControlAddr: controlAddr,
 		},
 		NodeListenAddr: s.Listen.Node, ControlListenAddr: s.Listen.Control,
-		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, Logger: log, Tracer: untraced{},
+		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, WarmupBound: warmupBound(s), Logger: log, Tracer: untraced{},
 		Store:    kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
@@ -146,12 +147,21 @@
 	return retry.ServiceLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration}
 }
 
+// warmupBound returns the bound on the calls that a cold target receives, the zero value if it
+// is not set.
+func warmupBound(s settings.Sidecar) warmup.Bound {
+	if s.Warmup == nil {
+		return warmup.Bound{}
+	}
+	return warmup.Bound{Overshoot: s.Warmup.Overshoot, Slack: s.Warmup.Slack}
+}
+
 // runningNode applies changed settings to a running node.
 type runningNode struct{ *agent.Agent }
 
 // Apply applies the settings that can change while the node runs.
 func (a runningNode) Apply(s settings.Sidecar) {
-	a.Post(&core.SettingsChanged{MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s)})
+	a.Post(&core.SettingsChanged{MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), WarmupBound: warmupBound(s)})
 }
 
 func server(h http.Handler) *http.Server {
--- a/io/caller/dialect.go
+++ b/io/caller/dialect.go
@@ -42,6 +42,9 @@
 	return res.StatusCode == http.StatusServiceUnavailable, core.ExecutedUnknown
 }
 
+// ParseTargetReport returns the zero value: targets report nothing in their responses.
+func (Dialect) ParseTargetReport(*http.Response) core.TargetReport { return core.TargetReport{} }
+
 // APIKey returns the API key of a request, from a bearer token or from X-Api-Key.
 func APIKey(h http.Header) (string, bool) {
 	if scheme, token, ok := strings.Cut(h.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
