core, io/node: refusals tell senders of a cold target, and a silent target is cold

Until the announcement reached a sender, its calls to a cold target were refused there, one round trip each. Responses and refusals between nodes now carry the rest of the cold period (header Celery-Cold); a sender applies it to the endpoint as of when the call was sent.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -235,8 +235,7 @@
 		c.excluded = append(c.excluded, c.endpoint.Name)
 	}
 	c.recordEndpointLoad(now, e.Load)
-	s.observeResponse(now, c, e.Report)
-	s.observeFailure(now, c, e.Cause)
+	s.observeFailure(now, c, e)
 	local := c.phase == phaseRunning
 	if local {
 		s.gate.Complete(s.completion(now, c, e.Cause == CauseTargetOverloaded, false))
@@ -257,6 +256,7 @@
 func (c *call) recordEndpointLoad(now time.Time, l TargetLoad) {
 	if l.Known && c.phase == phaseForwarded {
 		c.endpoint.SetLoad(now, l.Utilization)
+		c.endpoint.SetColdFor(c.attemptStart, l.ColdFor)
 	}
 }
 
--- a/core/call.go
+++ b/core/call.go
@@ -127,7 +127,7 @@
 	stats := s.gate.Stats()
 	v.Inputs = VerdictInputs{
 		Workspace: c.workspace, ManifestVersion: s.manifestVersion(), ManifestAge: now.Sub(s.manifestConfirmedAt), Remaining: c.deadline.Sub(now),
-		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(),
+		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(), ColdFor: s.warmup.target.Remaining(now),
 	}
 	s.effects.Verdicts = append(s.effects.Verdicts, v)
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -114,9 +114,10 @@
 	ManifestAge     time.Duration // time since it was last confirmed to be the newest
 	Remaining       time.Duration // time until the call's deadline
 	Attempt         int
-	Running         int     // calls running at the local target
-	Queued          int     // calls queued for the local target
-	Load            float64 // running and queued calls divided by slots
+	Running         int           // calls running at the local target
+	Queued          int           // calls queued for the local target
+	Load            float64       // running and queued calls divided by slots
+	ColdFor         time.Duration // time for which the local target stays cold
 }
 
 // StoreRequest is an operation on the store.
--- a/core/event.go
+++ b/core/event.go
@@ -78,8 +78,9 @@
 // TargetLoad is the load of a target, as its node reports it with a response or a
 // refusal.
 type TargetLoad struct {
-	Known       bool    // the node reported a load
-	Utilization float64 // running and queued calls divided by slots
+	Known       bool          // the node reported a load
+	Utilization float64       // running and queued calls divided by slots
+	ColdFor     time.Duration // time for which the target stays cold, 0 if it is not
 }
 
 // AttemptFailed reports an attempt that failed before any part of its response was
--- a/core/route/cold.go
+++ b/core/route/cold.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // defaultServiceLatency stands for the usual latency of a service until one was measured.
 const defaultServiceLatency = 50 * time.Millisecond
@@ -11,12 +14,33 @@
 	if e.Revision == announced.Revision {
 		return
 	}
-	e.Revision, e.ColdFor, e.coldUntil = announced.Revision, announced.ColdFor, time.Time{}
+	e.Revision, e.ColdFor, e.coldUntil, e.coldSetAt = announced.Revision, announced.ColdFor, time.Time{}, now
 	if e.ColdFor > 0 {
 		e.coldUntil, e.usualLatency = now.Add(e.ColdFor), s.meanLatency()
 	}
 }
 
+// coldTolerance is the difference between two ends of a cold period that is due to the time
+// that reports travel.
+const coldTolerance = 1 * time.Second
+
+// SetColdFor records the rest of the target's cold period that came with the response to a call,
+// 0 if the target is not cold. It counts from the start of the call, which was sent at the given
+// time. Senders learn of a cold target from its first response or refusal, before the
+// announcement has reached them.
+func (e *Endpoint) SetColdFor(sent time.Time, d time.Duration) {
+	if sent.Before(e.coldSetAt) {
+		return
+	}
+	e.coldSetAt = sent
+	switch {
+	case d > 0:
+		e.coldUntil, e.usualLatency = sent.Add(d), cmp.Or(e.usualLatency, e.latency, defaultServiceLatency)
+	case e.coldUntil.Sub(sent) > coldTolerance:
+		e.coldUntil = time.Time{}
+	}
+}
+
 // meanLatency returns the mean latency of the endpoints for which it was measured.
 func (s *serviceEndpoints) meanLatency() time.Duration {
 	var sum, n time.Duration
--- a/core/route/cold_test.go
+++ b/core/route/cold_test.go
@@ -96,3 +96,28 @@
 		t.Errorf("%d of 10,000 calls go to the only endpoint", got)
 	}
 }
+
+// TestColdPeriodOfResponses guards against a response to a call from before the target became
+// cold that ends the cold period, and against one that skips the rise after it.
+func TestColdPeriodOfResponses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name  string
+		sent  time.Duration // when the call was sent, after the announcement
+		rest  time.Duration // of the cold period, in its response
+		after time.Duration // when the share is measured
+		cold  bool
+	}{
+		{"call from before the announcement", -time.Second, 0, time.Second, true},
+		{"target that is warm", 2 * time.Second, 0, 3 * time.Second, false},
+		{"end of the cold period", 9800 * time.Millisecond, 0, 10 * time.Second, true},
+		{"target that is cold for longer", 8 * time.Second, 5 * time.Second, 12 * time.Second, true},
+	} {
+		table := coldTable(now)
+		e := table.Find("s", "e0")
+		e.SetColdFor(now.Add(tt.sent), tt.rest)
+		if cold := e.coldShare(now.Add(tt.after)) < 0.1; cold != tt.cold {
+			t.Errorf("%s: share %.3f, want a cold endpoint's: %v", tt.name, e.coldShare(now.Add(tt.after)), tt.cold)
+		}
+	}
+}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -59,6 +59,7 @@
 	pausedUntil    time.Time     // no new calls before
 	slowStartAt    time.Time     // when slow start began
 	coldUntil      time.Time     // end of the cold period, zero if none was announced
+	coldSetAt      time.Time     // when coldUntil was last set, or the call was sent whose response has set it
 	usualLatency   time.Duration // of the service's endpoints when the cold period was announced
 }
 
--- a/core/warmup.go
+++ b/core/warmup.go
@@ -17,8 +17,13 @@
 	target       warmup.Target
 	phase        warmup.Phase // after the last update
 	announcedEnd time.Time    // end of the cold period in the node's announcement, zero if none
+	heardAt      time.Time    // last heartbeat or response of the target
 }
 
+// silenceLimit is the time without any heartbeat or response after which the target may have
+// been stopped, and is cold when it is back. It exceeds the delay of heartbeats.
+const silenceLimit = lateHeartbeatTime
+
 // TargetReport is what a response of the local target says apart from its result.
 type TargetReport struct {
 	// Misdirected is set if the target has rejected the request as meant for another
@@ -77,6 +82,7 @@
 // instance. Only a later report can then say that it is warm: the target may have become cold
 // since this one was sent.
 func (s *State) observeHeartbeat(now time.Time, h Heartbeat, opens bool) {
+	s.warmup.heardAt = now
 	if opens {
 		s.warmup.target.Assume(now)
 	}
@@ -91,6 +97,7 @@
 	if c.phase != phaseRunning {
 		return
 	}
+	s.warmup.heardAt = now
 	if r.Misdirected {
 		s.gate.WithdrawArrival(c.attemptStart)
 	}
@@ -101,17 +108,33 @@
 	}
 }
 
-// observeFailure takes the target for cold if a call could not connect to it: it has stopped,
-// and is cold when it has started again.
-func (s *State) observeFailure(now time.Time, c *call, cause Cause) {
-	if c.phase == phaseRunning && cause == CauseUnreachable {
+// observeFailure handles a failed attempt at the local target. If the call could not connect to
+// it, it has stopped, and is cold when it has started again.
+func (s *State) observeFailure(now time.Time, c *call, e *AttemptFailed) {
+	switch {
+	case c.phase != phaseRunning:
+	case e.Cause == CauseTargetOverloaded:
+		s.observeResponse(now, c, e.Report)
+	case e.Cause == CauseUnreachable:
 		s.assumeCold(now)
 	}
 }
 
+// detectSilence takes the target for cold if nothing was heard of it for silenceLimit, which is
+// also the case after a suspension of the machine.
+func (s *State) detectSilence(now time.Time) {
+	w := &s.warmup
+	if w.heardAt.IsZero() || now.Sub(w.heardAt) < silenceLimit || !w.target.Enabled() {
+		return
+	}
+	w.heardAt = time.Time{} // once, until it is heard again
+	w.target.Assume(now)
+}
+
 // updateWarmup sets the gate's rate limit for the present phase and reports a change of it.
 func (s *State) updateWarmup(now time.Time) {
 	w := &s.warmup
+	s.detectSilence(now)
 	phase := w.target.Phase(now)
 	s.gate.TrackArrivals(w.target.Enabled())
 	if phase == warmup.Warm && w.phase == warmup.Warm {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -275,7 +275,7 @@
 	copyInto(x.w.Header(), copyHeader(res.Header))
 	x.suppressImplicitHeaders(x.w.Header())
 	if x.origin == core.FromNode {
-		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs.Load)
+		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs)
 	}
 	for name := range res.Trailer {
 		x.w.Header().Add("Trailer", name)
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -21,6 +21,7 @@
 	headerAdmissionLevel = "Celery-Level"
 	headerUnspentRetries = "Celery-Unspent"
 	headerLoad           = "Celery-Load" // running and queued calls as a percentage of the target's slots
+	headerCold           = "Celery-Cold" // milliseconds for which the target stays cold, absent if it is not
 
 	// HeaderReason and HeaderExecuted state why a call was refused and whether it may
 	// have been executed.
@@ -156,16 +157,26 @@
 	return o
 }
 
-// SetTargetLoad encodes the utilization of the target into the headers of a response.
-func SetTargetLoad(h http.Header, utilization float64) {
-	h[headerLoad] = []string{strconv.Itoa(int(utilization * 100))}
+// SetTargetLoad encodes the utilization and the cold period of the target, as they were at a
+// verdict, into the headers of a response.
+func SetTargetLoad(h http.Header, in core.VerdictInputs) {
+	h[headerLoad] = []string{strconv.Itoa(int(in.Load * 100))}
+	if in.ColdFor > 0 {
+		h[headerCold] = []string{strconv.FormatInt(in.ColdFor.Milliseconds(), 10)}
+	}
 }
 
 // GetTargetLoad decodes the header that SetTargetLoad writes. If it is missing or
 // malformed, the load is unknown.
 func GetTargetLoad(h http.Header) core.TargetLoad {
 	percent, err := strconv.ParseUint(h.Get(headerLoad), 10, 16)
-	return core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100}
+	l := core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100}
+	if cold := h.Get(headerCold); cold != "" {
+		if ms, err := strconv.ParseUint(cold, 10, 32); err == nil {
+			l.ColdFor = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return l
 }
 
 // ParseRefusal decodes a refusal by the node itself; ok is false for a response of its
--- a/io/node/header_test.go
+++ b/io/node/header_test.go
@@ -82,3 +82,18 @@
 		}
 	}
 }
+
+// TestTargetLoadRoundTrip guards against a cold period that does not reach the sender of a call,
+// or that it sees although the target is warm.
+func TestTargetLoadRoundTrip(t *testing.T) {
+	for _, in := range []core.VerdictInputs{{Load: 0.5}, {Load: 0.25, ColdFor: 2500 * time.Millisecond}} {
+		h := http.Header{}
+		SetTargetLoad(h, in)
+		if got, want := GetTargetLoad(h), (core.TargetLoad{Known: true, Utilization: in.Load, ColdFor: in.ColdFor}); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	if got := GetTargetLoad(http.Header{"Celery-Cold": {"-3"}}); got != (core.TargetLoad{}) {
+		t.Errorf("malformed header: got %+v", got)
+	}
+}
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -11,13 +11,13 @@
 type RefusalWriter struct{}
 
 // Refuse writes the reason, whether the call may have been executed, its outcome, and
-// the load of the target.
+// the load and cold period of the target.
 func (RefusalWriter) Refuse(w http.ResponseWriter, v core.Verdict) {
 	h := w.Header()
 	h.Set(HeaderReason, v.Reason.String())
 	h.Set(HeaderExecuted, v.Executed.String())
 	SetOutcome(h, "", Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
-	SetTargetLoad(h, v.Inputs.Load)
+	SetTargetLoad(h, v.Inputs)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
