--- a/core/manifest/check/check_test.go
+++ b/core/manifest/check/check_test.go
@@ -88,6 +88,7 @@
 		{"route replaced by a shorter one", func(m *manifest.Manifest) { m.Routes[0].Name, m.Routes[0].Host = "all", "" },
 			[]string{`removed route "page": any method h.example/page/ goes to route "all"`, `added route "all": any method /page/ to a`}},
 		{"route moved", func(m *manifest.Manifest) { m.Routes[1].Split, m.Routes[1].Service = nil, "b" }, []string{`changed route "order" services: a (1), b (1) to b`}},
+		{"cold targets", func(m *manifest.Manifest) { m.Services[0].ColdRate = 13 }, []string{`changed service "a" rate of cold targets: no limit to 13/s`}},
 		{"body limit introduced", func(m *manifest.Manifest) { m.Limits.MaxBodyBytes = 10 }, []string{`changed limit on body bytes: 0 to 10 (refuses calls)`}},
 	} {
 		next := example()
--- a/core/manifest/check/difference.go
+++ b/core/manifest/check/difference.go
@@ -87,7 +87,11 @@
 	match(d.inForce.Services, d.next.Services, name,
 		func(s manifest.Service) { d.add(Change{Action: Removed, Entry: entry("service", s.Name)}) },
 		func(s manifest.Service) { d.add(Change{Action: Added, Entry: entry("service", s.Name)}) },
-		func(manifest.Service, manifest.Service) {})
+		func(old, next manifest.Service) {
+			e := entry("service", old.Name)
+			d.compareValue(e+" rate of cold targets", limitText(old.ColdRate), limitText(next.ColdRate), false)
+			d.compareValue(e+" cold time", old.ColdDuration, next.ColdDuration, false)
+		})
 }
 
 func (d *differences) compareRoutes() {
--- a/core/route/cold.go
+++ b/core/route/cold.go
@@ -11,8 +11,8 @@
 // updateCold applies the cold period in a new announcement of the endpoint.
 func (e *Endpoint) updateCold(now time.Time, announced *Endpoint, s *serviceEndpoints) {
 	e.ColdRate, e.RampDuration = announced.ColdRate, announced.RampDuration
-	if e.Revision == announced.Revision {
-		return
+	if e.Revision == announced.Revision && e.ColdFor == announced.ColdFor {
+		return // no new announcement
 	}
 	e.Revision, e.ColdFor, e.coldUntil, e.coldSetAt = announced.Revision, announced.ColdFor, time.Time{}, now
 	if e.ColdFor > 0 {
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -42,8 +42,8 @@
 	Unreachable      bool  // see member.Peer
 	Slots            int   // calls the target runs concurrently, 0 if unknown
 	TargetStartMilli int64 // Unix time in ms of the target's start; a change triggers slow start
-	// Revision orders the announcements of the endpoint. ColdFor is the time, from the first
-	// Put with this revision on, for which the target tolerates only ColdRate calls per second
+	// Revision identifies an announcement of the endpoint. ColdFor is the time, from the first
+	// Put of this announcement on, for which the target tolerates only ColdRate calls per second
 	// (0: any number). After it the rate rises to the full one over RampDuration.
 	Revision     uint64
 	ColdFor      time.Duration
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -36,6 +36,7 @@
 	core.ReasonBadBody:              http.StatusBadRequest,
 	core.ReasonBodyTooLarge:         http.StatusRequestEntityTooLarge,
 	core.ReasonHeaderTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
+	core.ReasonTargetCold:           http.StatusServiceUnavailable,
 }
 
 // RefusalWriter writes refusals to callers and to the local target.
