core, core/admit: the random arrivals last long enough to reach the limit

Drawn lists were mostly short: a window of 0.9 s instead of 1.05 s, set as a trial, passed both tests. With 300 and 400 steps at least, the test of the gate fails with it, and that of the reducer fails if a new instance is not taken for cold.

--- a/core/admit/arrivals_test.go
+++ b/core/admit/arrivals_test.go
@@ -20,7 +20,7 @@
 		g.SetRateLimit(limit)
 		var starts []time.Time
 		running := 0
-		gaps := rapid.SliceOfN(rapid.IntRange(0, 80), 1, 400).Draw(t, "gaps in ms")
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 80), 300, 400).Draw(t, "gaps in ms")
 		for i, gap := range gaps {
 			now = now.Add(time.Duration(gap) * time.Millisecond)
 			for _, dropped, ok := g.Next(now); ok; _, dropped, ok = g.Next(now) {
--- a/core/warmup_random_test.go
+++ b/core/warmup_random_test.go
@@ -16,7 +16,7 @@
 		start, sequence := int64(1), uint64(0)
 		n.heartbeat(start, sequence, 0)
 		end = n.now.Add(testColdTime)
-		for _, action := range rapid.SliceOfN(rapid.IntRange(0, 99), 1, 600).Draw(t, "actions") {
+		for _, action := range rapid.SliceOfN(rapid.IntRange(0, 99), 400, 600).Draw(t, "actions") {
 			n.now = n.now.Add(time.Duration(action%7) * 3 * time.Millisecond)
 			before := len(n.runs)
 			switch {
