core: the end of an evacuation makes the local target count as cold

The target had no calls while its domain was evacuated and may have lost its caches. Its rate is limited until its next report.

--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -138,6 +138,7 @@
 func (s *State) evacuateTarget(now time.Time) {
 	if !s.evacuated(s.self.Domain) {
 		s.evacuation.reopenedAt = now
+		s.assumeCold(now)
 		return
 	}
 	s.rejectQueuedCalls(now)
--- a/core/warmup_test.go
+++ b/core/warmup_test.go
@@ -34,10 +34,12 @@
 	report TargetReport
 }
 
+func warmupSettings() Settings {
+	return Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true, PlannedAdmission: true, WarmupBound: testBound}
+}
+
 func newWarmupNode() *warmupNode {
-	n := &warmupNode{now: time.Unix(1000, 0)}
-	n.State = New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true, PlannedAdmission: true, WarmupBound: testBound})
-	return n
+	return &warmupNode{now: time.Unix(1000, 0), State: New(warmupSettings())}
 }
 
 // start lets the node know the manifest and what an earlier process has stored.
@@ -363,9 +365,18 @@
 // TestReopenedTargetIsColdUntilALaterReport guards against a target that gets its full load when
 // the evacuation of its domain ends, and against one that stays limited.
 func TestReopenedTargetIsColdUntilALaterReport(t *testing.T) {
-	n := newWarmupNode().start().warm()
-	n.now = n.now.Add(2 * time.Second)
-	n.assumeCold(n.now)
+	settings := warmupSettings()
+	settings.Evacuation = 5 * time.Second
+	n := newWarmupNode()
+	n.State = New(settings)
+	n.start()
+	n.Step(n.now, &EvacuationsStored{Set: testSet(1), At: n.now})
+	n.warm()
+	n.Step(n.now, &EvacuationsStored{Set: testSet(2, "d0"), At: n.now})
+	if got := n.offer(2 * time.Second); got != 0 {
+		t.Fatalf("%d calls reach the target of an evacuated domain", got)
+	}
+	n.Step(n.now, &EvacuationsStored{Set: testSet(3), At: n.now})
 	if got := n.offer(time.Second); got < 1 || got > testColdRate {
 		t.Errorf("%d calls in a second, want 1 to %d", got, testColdRate)
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -227,11 +227,16 @@
 	if s.MaxHeadBytes < minHeadBytes {
 		add("/head", "must be at least %d", minHeadBytes)
 	}
+	s.validateBounds(add)
+	return violations
+}
+
+// validateBounds passes the violations of the bounds on calls to a function.
+func (s *Sidecar) validateBounds(add func(path, rule string, args ...any)) {
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		add("/retry", "ratio and slack must not be less than 0")
 	}
 	if w := s.Warmup; w != nil && (w.Overshoot < 1 || w.Slack < 0) {
 		add("/warmup", "overshoot must be at least 1 and slack must not be less than 0")
 	}
-	return violations
 }
