--- a/core/effect.go
+++ b/core/effect.go
@@ -84,6 +84,7 @@
 	ReasonBadBody                     // the request ended before its body was complete
 	ReasonBodyTooLarge                // the body exceeds the limit in the manifest
 	ReasonHeaderTooLarge              // the headers exceed the limit in the manifest
+	ReasonTargetCold                  // the target is cold and has received as many calls as it may for now
 )
 
 // Verdict is the decision on one call.
@@ -112,9 +113,10 @@
 	ManifestAge     time.Duration // time since it was last confirmed to be the newest
 	Remaining       time.Duration // time until the call's deadline
 	Attempt         int
-	Running         int     // calls running at the local target
-	Queued          int     // calls queued for the local target
-	Load            float64 // running and queued calls divided by slots
+	Running         int           // calls running at the local target
+	Queued          int           // calls queued for the local target
+	Load            float64       // running and queued calls divided by slots
+	ColdFor         time.Duration // time for which the local target stays cold
 }
 
 // StoreRequest is an operation on the store.
@@ -196,6 +198,9 @@
 	NoticeDepartureRecalled
 	NoticeEvacuationStarted
 	NoticeEvacuationEnded
+	NoticeTargetCold
+	NoticeTargetRamping
+	NoticeTargetWarm
 )
 
 // Notice is an event for the operators' log.
--- a/core/event.go
+++ b/core/event.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 )
 
 // CallID identifies a call at one node. It is the span ID of the call's hop.
@@ -78,8 +79,9 @@
 // TargetLoad is the load of a target, as its node reports it with a response or a
 // refusal.
 type TargetLoad struct {
-	Known       bool    // the node reported a load
-	Utilization float64 // running and queued calls divided by slots
+	Known       bool          // the node reported a load
+	Utilization float64       // running and queued calls divided by slots
+	ColdFor     time.Duration // time for which the target stays cold, 0 if it is not
 }
 
 // AttemptFailed reports an attempt that failed before any part of its response was
@@ -92,6 +94,7 @@
 	Level          admit.Level // admission level reported downstream
 	UnspentRetries int         // unused part of the forwarded retry budget
 	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallFinished reports that a call has ended and its response has been passed on.
@@ -103,6 +106,7 @@
 	Level          admit.Level // admission level reported downstream
 	UnspentRetries int         // unused part of the forwarded retry budget
 	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallCanceled reports that the sender has abandoned the call.
@@ -117,6 +121,7 @@
 type SettingsChanged struct {
 	MaxStaleness time.Duration      // see Settings
 	RetryLimit   retry.ServiceLimit // see Settings
+	WarmupBound  warmup.Bound       // see Settings
 }
 
 // DrainRequested starts the drain of the node.
