core: a test with a deep service that declines calls

A service deep in the graph whose targets decline a share of the calls that reach them makes nearly every root call fail after its whole cost. No test showed how many trees are served, by class, and what is spent on the others.

--- a/core/load_test.go
+++ b/core/load_test.go
@@ -46,6 +46,14 @@
 	upstream *simHop // the hop at the node that forwarded the call
 	onEnd    func(ok, ran bool)
 	load     TargetLoad // of the target that the call was forwarded to
+	root     *simRoot
+	declined bool // the target has declined the call
+	arrived  bool // the call, or the one that it is forwarded for, has reached a target
+}
+
+// simRoot counts the work done for a root call.
+type simRoot struct {
+	deepRuns int // completed runs on table
 }
 
 type simulation struct {
@@ -62,6 +70,9 @@
 	completedRuns  map[string]int                 // by route
 	onStoreRequest func(node int, r StoreRequest) // called for each request to the store
 	namesParent    bool                           // calls made by targets carry the ID of the call that made them
+	front          int                            // number of nodes of service front, which come first
+	deepSlots      int
+	declines       func(hop *simHop) bool // called when a call reaches a target; reports whether that declines it
 }
 
 const simHopLatency = time.Millisecond
@@ -81,15 +92,21 @@
 }
 
 func newSimulation(plannedAdmission, namesParent bool) *simulation {
+	return newSimulationOf(3, 3, 20, plannedAdmission, namesParent)
+}
+
+// newSimulationOf simulates the given number of nodes of each service, and of slots of each
+// target of deep.
+func newSimulationOf(front, deep, deepSlots int, plannedAdmission, namesParent bool) *simulation {
 	m := &simulation{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), namesParent: namesParent,
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), namesParent: namesParent, front: front, deepSlots: deepSlots,
 		workTime:   map[string]time.Duration{"order": 100 * time.Millisecond, "view": 100 * time.Millisecond, "page": 50 * time.Millisecond, "table": 50 * time.Millisecond},
 		childCalls: map[string]int{"order": 4, "view": 4}, completedRuns: map[string]int{},
 	}
-	for i := range 6 {
+	for i := range front + deep {
 		self := testMember(i)
 		self.Service = "front"
-		if i >= 3 {
+		if i >= front {
 			self.Service = "deep"
 		}
 		m.settings = append(m.settings, Settings{
@@ -119,8 +136,8 @@
 	m.nodes[i], m.hops[i] = New(*settings), map[CallID]*simHop{}
 	m.step(i, &ManifestStored{Manifest: simManifest()})
 	slots := 200
-	if i >= 3 {
-		slots = 20
+	if i >= m.front {
+		slots = m.deepSlots
 	}
 	m.step(i, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "t", StartUnixMilli: 1, Sequence: 1, Slots: slots}})
 }
@@ -209,8 +226,16 @@
 	case ActionForward:
 		m.after(simHopLatency, func() { m.forward(v, hop) })
 	case ActionRun:
+		if m.declines != nil && m.declines(hop) {
+			m.after(simHopLatency, func() { m.step(i, &AttemptFailed{Call: v.Call, Cause: CauseTargetOverloaded, Executed: ExecutedNo}) })
+			return
+		}
 		m.runHop(i, v.Call, hop)
-	case ActionReplay, ActionDeliver, ActionSettle:
+	case ActionDeliver:
+		hop.declined = true
+		m.step(i, &CallFinished{Call: v.Call, Complete: true})
+		m.end(i, v.Call, hop, false, false, v)
+	case ActionReplay, ActionSettle:
 	}
 }
 
@@ -220,12 +245,16 @@
 			continue
 		}
 		id := m.id()
-		downstream := &simHop{node: j, route: hop.route, name: hop.name, upstream: hop}
+		downstream := &simHop{node: j, route: hop.route, name: hop.name, upstream: hop, root: hop.root}
 		downstream.onEnd = func(ok, ran bool) {
 			hop.load = TargetLoad{Known: true, Utilization: m.nodes[j].gate.Stats().LoadRatio()}
 			m.after(simHopLatency, func() {
 				if !ok && !ran {
-					m.step(hop.node, &AttemptFailed{Call: v.Call, Cause: CauseRejected, Reason: ReasonOverloaded, Executed: ExecutedNo, Load: hop.load})
+					failed := &AttemptFailed{Call: v.Call, Cause: CauseRejected, Reason: ReasonOverloaded, Executed: ExecutedNo, Load: hop.load}
+					if downstream.declined {
+						failed.Cause, failed.Reason = CauseTargetOverloaded, ReasonNone
+					}
+					m.step(hop.node, failed)
 					return
 				}
 				m.finish(hop.node, v.Call, hop, ok)
@@ -256,6 +285,9 @@
 			workTime := time.Duration((0.5 + m.random.Float64()) * float64(m.workTime[hop.route]))
 			m.after(workTime, func() {
 				m.completedRuns[hop.route]++
+				if hop.root != nil && hop.route == "table" {
+					hop.root.deepRuns++
+				}
 				m.finish(i, call, hop, true)
 			})
 			return
@@ -273,7 +305,7 @@
 
 func (m *simulation) child(i int, parent *simHop, done func(ok bool)) {
 	id := m.id()
-	hop := &simHop{node: i, route: "table", name: parent.name + ".c", onEnd: func(ok, _ bool) { done(ok) }}
+	hop := &simHop{node: i, route: "table", name: parent.name + ".c", root: parent.root, onEnd: func(ok, _ bool) { done(ok) }}
 	m.hops[i][id] = hop
 	a := &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: "table", RequestID: hop.name, RootID: uint64(id), Timeout: time.Second, Replayable: true}
 	if m.namesParent {
