core: retries and root calls follow the declined calls of a deep service

While the targets of a service decline a share of the calls that reach them, the retries within its limit went to whichever call asked first, so that trees of four calls failed after their whole cost, the most important like the others. Where child calls do not name their parent they brought no retries at all, as they were not counted as calls for the service.

Each node counts the arrivals at its target and those that it says it has not executed, and sends both with its load report. Meanwhile retries leave a part of those at hand to trees of higher classes, trees closer to their end and lower hashes of the root (ServiceLimiter.AllowAbove), and calls of trees that have ended or lost another call make none. Root calls of trees that are almost sure to fail are refused at the entry (reason declining, not executed, Retry-After of about the latency objective), as far as the retries do not suffice for whole trees, down to the floor of a quarter of the callers. Child calls without a parent count for the limit like all others. Without declined calls the plan is the same.

New metrics: celeryshelf_declined_ratio{service}, celeryshelf_refusals_total{reason="declining"}. New log lines: service-declining, service-accepting.

The limit on retries and its tests are unchanged; the numbers of the other reasons are, too.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -91,7 +91,7 @@
 	}
 	s.setIdempotencyKey(c, e.IdempotencyHash)
 	if !s.admitsUnderLoad(now, c, e) {
-		s.refuse(now, c, ReasonShed)
+		s.refuse(now, c, s.reasonForShedding(c))
 		return
 	}
 	s.takeToken(now, c)
@@ -105,7 +105,9 @@
 	if !e.HasKey && s.planning.costEstimator.HasRuns() {
 		// A call without a key is made by the local target on behalf of one that it
 		// runs, which was admitted with its whole tree.
+		c.unattributed = true
 		s.planning.costEstimator.ObserveCall(now, c.route)
+		s.retryLimiter.RecordCall(now, c.service)
 		return true
 	}
 	s.planning.demandMeter.Count(c.route, c.rank.Class, s.planning.isFirstTry(c.route, e.Timeout))
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -185,7 +185,7 @@
 		// The limit applies to calls that reach a target. An attempt that has not
 		// reached one may be repeated outside the limit.
 		reached := cause == CauseTargetOverloaded || c.executed != ExecutedNo
-		return !reached || s.retryLimiter.Allow(now, c.service, c.parent != 0)
+		return !reached || s.allowRetry(now, c)
 	}
 	if c.idempotencyKey.Hash != 0 && cause == CauseRejected {
 		return false // the key's coordinator has refused the call
@@ -235,6 +235,9 @@
 	c.recordEndpointLoad(now, e.Load)
 	local := c.phase == phaseRunning
 	if local {
+		if e.Cause != CauseUnreachable {
+			s.observeArrival(e.Cause == CauseTargetOverloaded && e.Executed == ExecutedNo)
+		}
 		s.gate.Complete(s.completion(now, c, e.Cause == CauseTargetOverloaded, false))
 		c.level = s.upstreamLevel(c)
 	}
@@ -314,6 +317,7 @@
 	c.level = max(c.level, e.Level)
 	switch c.phase {
 	case phaseRunning:
+		s.observeArrival(false)
 		s.gate.Complete(s.completion(now, c, e.Overloaded, e.Complete && !e.Failed))
 		c.endpoint.CallAnswered(now.Sub(c.attemptStart))
 		c.level = s.upstreamLevel(c)
@@ -331,7 +335,7 @@
 			Action: ActionSettle, Level: c.level, UnspentRetries: c.budget.Remaining(),
 		})
 	}
-	s.removeCall(now, c, e.Complete && !e.Failed)
+	s.removeCall(now, c, e.Complete && !e.Failed && c.phase != phaseDelivering)
 	s.admitQueued(now)
 }
 
--- a/core/call.go
+++ b/core/call.go
@@ -64,6 +64,8 @@
 	blocked           time.Duration     // time with open child calls, excluding the current period
 	failedChildren    [maxFailedChildren]uint64
 	failedChildCount  int
+	succeededChildren int
+	unattributed      bool // made by the local target, for a running call that it does not name
 	replicasRequested int  // nodes asked to store a record of the call
 	acksPending       int  // acknowledgments of the record still expected
 	reportsEnd        bool // its end is reported with ActionSettle
@@ -105,7 +107,9 @@
 	if p.openChildren == 0 {
 		p.blocked += now.Sub(p.blockedSince)
 	}
-	if !succeeded {
+	if succeeded {
+		p.succeededChildren++
+	} else {
 		p.failedChildren[p.failedChildCount%maxFailedChildren] = c.requestHash
 		p.failedChildCount++
 	}
@@ -179,7 +183,8 @@
 	minRetryAfter    = 30 * time.Millisecond
 	maxRetryAfter    = 1 * time.Second
 	// longRetryFactor multiplies the delay after a refusal whose cause lasts longer than a
-	// shortage of slots or tokens: a takeover of shards, or the loss of the store.
+	// shortage of slots or tokens: a takeover of shards, the loss of the store, or a service
+	// whose targets decline calls.
 	longRetryFactor = 4
 )
 
@@ -196,7 +201,7 @@
 	switch reason {
 	case ReasonOverQuota, ReasonShed, ReasonOverloaded, ReasonNoEndpoint, ReasonAttemptFailed, ReasonDraining, ReasonDeadlineExceeded:
 		return short
-	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated:
+	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated, ReasonDeclining:
 		return longRetryFactor * short
 	default:
 		return 0
--- a/core/declining_service_test.go
+++ b/core/declining_service_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"celeryshelf/core/plan"
 )
 
 // These tests simulate 6 nodes of service front and 14 of service deep, whose targets decline a
@@ -155,7 +157,7 @@
 // TestDecliningServiceKeepsRetryLimit guards against retries beyond the limit of a service whose
 // targets decline calls, and against root calls that still fail a second after it is sound again.
 func TestDecliningServiceKeepsRetryLimit(t *testing.T) {
-	for _, ratio := range []float64{0, 0.02, 0.2, 0.45, 0.7} {
+	for _, ratio := range []float64{0, 0.02, 0.2, 0.45, 0.55, 0.7, 0.9} {
 		for _, namesParent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("ratio %.2f, names parent %v", ratio, namesParent), func(t *testing.T) {
 				r := newDeclineRun(ratio, namesParent)
@@ -171,3 +173,61 @@
 		}
 	}
 }
+
+// TestRetriesGoToTheMostImportantTrees guards against retries that are spread over all trees, of
+// which then hardly any succeeds. Given to a quarter of the trees, the retries within the limit
+// let 0.31 of them succeed; the calls on order are less than a quarter.
+func TestRetriesGoToTheMostImportantTrees(t *testing.T) {
+	for _, parallel := range []bool{false, true} {
+		r := newDeclineRun(0.45, true)
+		r.parallel = parallel
+		r.simulate()
+		r.log(t)
+		r.checkRetryLimit(t)
+		if o := r.outcomes["order"]; float64(o.served) < 0.31*float64(o.sent) {
+			t.Errorf("order, child calls at once %v: %s; want at least 0.31 served", parallel, o)
+		}
+	}
+}
+
+// TestHopelessTreesAreRefusedAtTheEntry guards against root calls that fail after their whole
+// cost while a service on their path declines nearly every call.
+func TestHopelessTreesAreRefusedAtTheEntry(t *testing.T) {
+	for _, namesParent := range []bool{true, false} {
+		r := newDeclineRun(0.9, namesParent)
+		r.simulate()
+		r.log(t)
+		order, view := r.outcomes["order"], r.outcomes["view"]
+		// Where calls do not name their parent, the plan cannot tell what each route costs.
+		if refused, failed := order.refused+view.refused, order.failed+view.failed; refused <= failed {
+			t.Errorf("child calls name their parent %v: %d root calls failed and %d were refused; want most refused before they run", namesParent, failed, refused)
+		}
+		if o := r.outcomes["page"]; o.failed > 0 {
+			t.Errorf("page makes no calls, and a declined one has not run: %s", o)
+		}
+	}
+}
+
+// TestRefusalForADecliningServiceSaysWhen guards against an entry that refuses a call late,
+// leaves open whether it ran, or gives no time after which the service may be sound again.
+func TestRefusalForADecliningServiceSaysWhen(t *testing.T) {
+	s, now := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true}), time.Unix(1000, 0)
+	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &MessageReceived{From: "n1", Body: &Sync{Self: testMember(1)}})
+	p := &Plan{AdmitRatios: []plan.AdmitRatio{{Route: "map", Ratio: 0, Declining: true}}, Declining: []plan.DeclinedRatio{{Service: "maps", Ratio: 0.9}}}
+	arrival := &CallArrived{Call: 1, Origin: FromCallerOrTarget, Route: "map", HasKey: true, RootID: 1, Timeout: time.Second, Replayable: true}
+	s.Step(now, &MessageReceived{From: "n1", Body: p})
+	v := s.Step(now, arrival).Verdicts
+	if len(v) != 1 || v[0].Action != ActionRefuse || v[0].Reason != ReasonDeclining || v[0].Executed != ExecutedNo || v[0].RetryAfter < minRetryAfter {
+		t.Errorf("got %+v; want a refusal that says that the call has not run and when to try again", v)
+	}
+	later := now.Add(planTTL + sweepInterval)
+	s.Step(later, &Tick{})
+	if got := s.Status().DeclinedRatio; got != 0 {
+		t.Errorf("declined ratio %.2f after the plan has lapsed, want 0", got)
+	}
+	arrival.Call = 2
+	if v := s.Step(later, arrival).Verdicts; len(v) != 1 || v[0].Reason == ReasonDeclining {
+		t.Errorf("got %+v after the plan has lapsed", v)
+	}
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -85,6 +85,7 @@
 	ReasonBadBody                     // the request ended before its body was complete
 	ReasonBodyTooLarge                // the body exceeds the limit in the manifest
 	ReasonHeaderTooLarge              // the headers exceed the limit in the manifest
+	ReasonDeclining                   // a service on the call's path declines calls, so that it would fail
 )
 
 // Verdict is the decision on one call.
@@ -197,6 +198,8 @@
 	NoticeDepartureRecalled
 	NoticeEvacuationStarted
 	NoticeEvacuationEnded
+	NoticeServiceDeclining
+	NoticeServiceAccepting
 )
 
 // Notice is an event for the operators' log.
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -72,6 +73,7 @@
 	namesParent    bool                           // calls made by targets carry the ID of the call that made them
 	front          int                            // number of nodes of service front, which come first
 	deepSlots      int
+	parallel       bool                   // targets make their child calls at once
 	declines       func(hop *simHop) bool // called when a call reaches a target; reports whether that declines it
 }
 
@@ -277,8 +279,12 @@
 }
 
 // runHop has a target run a call, which first makes its child calls one after
-// another.
+// another, or all at once.
 func (m *simulation) runHop(i int, call CallID, hop *simHop) {
+	if m.parallel && m.childCalls[hop.route] > 0 {
+		m.runParallelHop(i, call, hop)
+		return
+	}
 	var next func(left int)
 	next = func(left int) {
 		if left == 0 {
@@ -303,9 +309,23 @@
 	next(m.childCalls[hop.route])
 }
 
+// runParallelHop ends the call at the first child call that fails.
+func (m *simulation) runParallelHop(i int, call CallID, hop *simHop) {
+	left, ended := m.childCalls[hop.route], false
+	for range left {
+		m.child(i, hop, func(ok bool) {
+			left--
+			if !ended && (!ok || left == 0) {
+				ended = true
+				m.finish(i, call, hop, ok)
+			}
+		})
+	}
+}
+
 func (m *simulation) child(i int, parent *simHop, done func(ok bool)) {
 	id := m.id()
-	hop := &simHop{node: i, route: "table", name: parent.name + ".c", root: parent.root, onEnd: func(ok, _ bool) { done(ok) }}
+	hop := &simHop{node: i, route: "table", name: fmt.Sprint(parent.name, ".", m.nextID), root: parent.root, onEnd: func(ok, _ bool) { done(ok) }}
 	m.hops[i][id] = hop
 	a := &CallArrived{Call: id, Origin: FromCallerOrTarget, Route: "table", RequestID: hop.name, RootID: uint64(id), Timeout: time.Second, Replayable: true}
 	if m.namesParent {
--- a/core/membership.go
+++ b/core/membership.go
@@ -110,6 +110,7 @@
 	s.updateWatchRole(now)
 	s.retryLimiter.SetNodeCount(1 + len(s.peers.All()))
 	s.levels.RemoveExpired(now)
+	s.expireDeclining(now)
 	s.dedup.RemoveExpired(now)
 	for _, name := range s.peers.RemoveExpired(now) {
 		s.routes.Remove(name)
@@ -158,6 +159,7 @@
 	case *Plan:
 		s.handleConfirmation(now, e.From, &m.Confirmation)
 		s.applyPlan(now, m.AdmitRatios)
+		s.applyDeclining(m.AdmitRatios, m.Declining)
 	case *IdempotencyRecord:
 		s.handleRecord(now, e.From, m)
 	case *IdempotencyRecordAck:
--- a/core/message.go
+++ b/core/message.go
@@ -54,6 +54,8 @@
 type Plan struct {
 	Confirmation Confirmation      `json:"proof"`
 	AdmitRatios  []plan.AdmitRatio `json:"keeps,omitempty"`
+	// Declining lists the services whose targets decline calls.
+	Declining []plan.DeclinedRatio `json:"declining,omitempty"`
 }
 
 // ManifestRequest asks for the peer's active manifest. A Confirmation follows the answer.
--- a/core/names.go
+++ b/core/names.go
@@ -3,7 +3,7 @@
 var reasonNames = [...]string{
 	ReasonNone: "none", ReasonNoManifest: "no-manifest", ReasonUnknownRoute: "unknown-route",
 	ReasonUnknownKey: "unknown-key", ReasonNoContext: "no-context", ReasonOverQuota: "over-quota",
-	ReasonQuotaUnavailable: "quota-unavailable", ReasonShed: "shed", ReasonOverloaded: "overloaded",
+	ReasonQuotaUnavailable: "quota-unavailable", ReasonShed: "shed", ReasonDeclining: "declining", ReasonOverloaded: "overloaded",
 	ReasonNoEndpoint: "no-endpoint", ReasonDeadlineExceeded: "deadline", ReasonDraining: "draining",
 	ReasonRetryBudgetExhausted: "budget-spent", ReasonAttemptFailed: "attempt-failed", ReasonDuplicate: "duplicate",
 	ReasonWrongTarget: "wrong-target", ReasonIsolated: "isolated", ReasonBadBody: "bad-body", ReasonBodyTooLarge: "body-too-large",
@@ -57,6 +57,7 @@
 	NoticeMemberRejected: "member-refused", NoticeMessageRejected: "message-refused",
 	NoticeDepartureRecalled: "departure-recalled",
 	NoticeEvacuationStarted: "evacuation-started", NoticeEvacuationEnded: "evacuation-ended",
+	NoticeServiceDeclining: "service-declining", NoticeServiceAccepting: "service-accepting",
 }
 
 // String returns the notice's name in logs.
--- a/core/plan/estimator.go
+++ b/core/plan/estimator.go
@@ -173,6 +173,20 @@
 	return time.Duration(s.holdSeconds / s.succeeded * float64(time.Second))
 }
 
+// CallsPerRun returns the mean number of calls that a successful run makes on all routes, or 0
+// if there are too few runs.
+func (e *CostEstimator) CallsPerRun(route string) float64 {
+	s := e.statsOf(route)
+	if s.succeeded < minRuns {
+		return 0
+	}
+	total := 0.0
+	for _, n := range s.exactCalls {
+		total += n
+	}
+	return total / s.succeeded
+}
+
 // HasRuns reports whether any run is in progress at the target.
 func (e *CostEstimator) HasRuns() bool {
 	return slices.ContainsFunc(e.routes, func(s *routeStats) bool { return s.running > 0 })
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -49,6 +49,8 @@
 	Route string  `json:"route"`
 	Class uint8   `json:"class"`
 	Ratio float64 `json:"share"`
+	// Declining reports that calls are refused because a service on their path declines calls.
+	Declining bool `json:"declining,omitempty"`
 }
 
 // TrafficSplit returns the services that serve the calls on a route, with the fraction of
@@ -75,6 +77,10 @@
 	summary string
 	costs   map[string]knownCost // by route
 	binding map[string]bool      // services whose capacity made the last plan restrict calls
+
+	declines  declineEstimator
+	retries   RetryLimit
+	declining []DeclinedRatio // with the last plan
 }
 
 // NewPlanner returns a planner without reports.
@@ -84,7 +90,9 @@
 
 // SetReport stores a node's report and replaces its previous one.
 func (p *Planner) SetReport(now time.Time, node string, r Report) {
-	p.reports[node] = timedReport{Report: r.valid(), receivedAt: now}
+	valid := r.valid()
+	p.reports[node] = timedReport{Report: valid, receivedAt: now}
+	p.declines.observe(now, valid.Load.Service, valid.Arrivals)
 }
 
 // SetEvacuated removes the target of a node from the capacity, until the node's next report.
@@ -98,11 +106,16 @@
 // Plan returns the last plan. Calls that are not in it are admitted without restriction.
 func (p *Planner) Plan() []AdmitRatio { return p.plan }
 
+// Declining returns the services that declined calls when the last plan was made.
+func (p *Planner) Declining() []DeclinedRatio { return p.declining }
+
 // Replan computes a new plan from the reports that have not expired.
 func (p *Planner) Replan(now time.Time, services TrafficSplit) {
 	maps.DeleteFunc(p.reports, func(_ string, r timedReport) bool { return now.Sub(r.receivedAt) > reportTTL })
-	sv := &solver{split: services, costs: p.withKnownCosts(now, p.mergedCosts()), treeCosts: map[string]map[string]float64{}}
+	sv := &solver{split: services, costs: p.withKnownCosts(now, p.mergedCosts()), treeCosts: treeSums{}, treeCalls: treeSums{}}
 	sv.streams = p.streams(sv)
+	p.declining = p.declines.ratios(now)
+	sv.limitByRetries(p.declining, p.retries)
 	capacity := p.capacity()
 	p.binding = map[string]bool{}
 	for range maxRounds {
@@ -235,7 +248,7 @@
 	out := make([]*plannedStream, 0, len(sums))
 	for k, sum := range sums {
 		out = append(out, &plannedStream{
-			route: k.route, class: k.class, rate: sum.Rate, ratio: 1, cost: sv.treeCost(k.route, 0),
+			route: k.route, class: k.class, rate: sum.Rate, ratio: 1, cost: sv.treeCost(k.route),
 			minRatio: max(minCallRatio, minCallerRatio*min(1, sum.FirstTryRate/sum.Rate)),
 		})
 	}
--- a/core/plan/report.go
+++ b/core/plan/report.go
@@ -32,6 +32,8 @@
 	Demand []Demand    `json:"demand,omitempty"`
 	Load   Load        `json:"load"`
 	Costs  []RouteCost `json:"rows,omitempty"`
+	// Arrivals counts the calls that the node's target has ended since the last report.
+	Arrivals Arrivals `json:"arrivals,omitzero"`
 }
 
 // maxReported limits the rates, in calls per second, and the numbers of slots in a report.
@@ -42,7 +44,7 @@
 
 // valid returns the report without the rows that no node can have measured.
 func (r Report) valid() Report {
-	r.Costs = ValidCosts(r.Costs)
+	r.Costs, r.Arrivals = ValidCosts(r.Costs), r.Arrivals.valid()
 	r.Demand = slices.DeleteFunc(slices.Clone(r.Demand), func(d Demand) bool {
 		return !(d.Rate > 0 && inRange(d.Rate) && inRange(d.FirstTryRate))
 	})
--- a/core/planning.go
+++ b/core/planning.go
@@ -96,7 +96,7 @@
 	s.due.report = now.Add(reportInterval)
 	s.accumulateLoad(now)
 	p.costEstimator.Decay(elapsed)
-	r := plan.Report{Demand: p.demandMeter.CloseWindow(now), Costs: p.costEstimator.Costs()}
+	r := plan.Report{Demand: p.demandMeter.CloseWindow(now), Costs: p.costEstimator.Costs(), Arrivals: s.takeArrivals()}
 	switch {
 	case s.evacuated(s.self.Domain):
 		r.Load = plan.Load{Service: s.self.Service, Evacuated: true}
@@ -123,6 +123,7 @@
 		s.planner(now).SetReport(now, name, r)
 		s.updatePlan(now)
 		s.applyPlan(now, s.planner(now).Plan())
+		s.applyDeclining(s.planner(now).Plan(), s.planner(now).Declining())
 		return
 	}
 	if p.unansweredSince.IsZero() {
@@ -136,6 +137,7 @@
 	if s.planning.planner == nil {
 		s.planning.planner = plan.NewPlanner()
 		s.planning.planner.RestoreCosts(now, s.planning.storedCosts)
+		s.planning.planner.SetRetryLimit(plan.RetryLimit{Attempts: maxAttempts, Sustained: s.retryLimiter.Sustained})
 	}
 	return s.planning.planner
 }
@@ -147,6 +149,7 @@
 	}
 	s.planning.plannedAt = now
 	s.planner(now).Replan(now, s.routeShares)
+	s.logDeclining(now)
 	s.saveCosts(now)
 	if now.Sub(s.planning.loggedAt) >= planLogInterval {
 		s.planning.loggedAt = now
@@ -207,7 +210,7 @@
 	}
 	s.planner(now).SetReport(now, from, r)
 	s.updatePlan(now)
-	s.send(from, &Plan{Confirmation: s.confirmation(now, m.Uptime), AdmitRatios: s.planner(now).Plan()})
+	s.send(from, &Plan{Confirmation: s.confirmation(now, m.Uptime), AdmitRatios: s.planner(now).Plan(), Declining: s.planner(now).Declining()})
 }
 
 func (s *State) applyPlan(now time.Time, ratios []plan.AdmitRatio) {
--- a/core/retry/limiter.go
+++ b/core/retry/limiter.go
@@ -73,6 +73,12 @@
 	return s
 }
 
+// Sustained returns the extra arrivals per second that all nodes together allow at a service that
+// is sent the given number of calls per second.
+func (l *ServiceLimiter) Sustained(callsPerSecond float64) float64 {
+	return ratioFraction*l.limit.Ratio*callsPerSecond + refillFraction*l.limit.Slack/l.limit.Window.Seconds()
+}
+
 // RecordCall counts a call for a service and adds its tokens. Nested calls count like those
 // of external callers.
 func (l *ServiceLimiter) RecordCall(now time.Time, service string) {
@@ -85,12 +91,19 @@
 // one. Nested calls leave half of the bucket to the calls of external callers: a call
 // tree is unlikely to succeed if a service in it fails that often.
 func (l *ServiceLimiter) Allow(now time.Time, service string, nested bool) bool {
-	s := l.bucket(now, service)
-	minTokens := 1.0
+	reserve := 0.0
 	if nested {
-		minTokens = max(1, l.capacity(s)/2)
+		reserve = 0.5
 	}
-	if s.tokens < minTokens {
+	return l.AllowAbove(now, service, reserve)
+}
+
+// AllowAbove takes a token for one extra arrival at a service if the bucket is filled at least
+// to the given share, from 0 to 1, and reports whether it was. The tokens below that share are
+// left to calls that use a lower one.
+func (l *ServiceLimiter) AllowAbove(now time.Time, service string, reserve float64) bool {
+	s := l.bucket(now, service)
+	if s.tokens < max(1, reserve*l.capacity(s)) {
 		return false
 	}
 	s.tokens--
--- a/core/state.go
+++ b/core/state.go
@@ -78,6 +78,7 @@
 	target              targetState
 
 	planning     planning
+	declines     declines
 	watch        watch
 	roles        roles
 	distribution distribution
@@ -205,6 +206,7 @@
 	Peers           []member.Peer
 	Gate            admit.Stats
 	Calls           int
+	DeclinedRatio   float64 // of the arrivals at the node's service, by the current plan; 0 if chance explains it
 	OwnedShards     int
 	StoreReachable  bool
 	ManifestVersion uint64
@@ -227,6 +229,7 @@
 		Peers:           append([]member.Peer(nil), s.peers.All()...),
 		Gate:            s.gate.Stats(),
 		Calls:           len(s.calls),
+		DeclinedRatio:   s.declines.ratios[s.self.Service],
 		OwnedShards:     s.shardOwner.ShardCount(),
 		StoreReachable:  s.storeReachable,
 		ManifestVersion: s.manifestVersion(),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -130,13 +130,14 @@
 		Observer: a.observer, Loop: a.loop, Router: router, Dialect: c.NewDialect(router), Tracer: c.Tracer, Clock: boot,
 		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission,
 	})
-	a.registerGauges()
+	a.registerGauges(c.Self.Service)
 	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{})), MaxConns: c.MaxNodeConns, Refusal: node.ConnectionRefusal()})
 	return a
 }
 
-// registerGauges registers the gauges of the state of the node.
-func (a *Agent) registerGauges() {
+// registerGauges registers the gauges of the state of the node, whose target is of the given
+// service.
+func (a *Agent) registerGauges(service string) {
 	gauge := func(name string, read func(v core.Status) float64) {
 		metrics.GetOrCreateGauge(name, func() float64 {
 			ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -149,6 +150,7 @@
 	gauge("celeryshelf_calls", func(v core.Status) float64 { return float64(v.Calls) })
 	gauge("celeryshelf_target_running", func(v core.Status) float64 { return float64(v.Gate.Running) })
 	gauge("celeryshelf_target_queued", func(v core.Status) float64 { return float64(v.Gate.Queued) })
+	gauge(fmt.Sprintf("celeryshelf_declined_ratio{service=%q}", service), func(v core.Status) float64 { return v.DeclinedRatio })
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
