--- a/core/declining_service_test.go
+++ b/core/declining_service_test.go
@@ -231,3 +231,24 @@
 		t.Errorf("got %+v after the plan has lapsed", v)
 	}
 }
+
+// TestPlannerLostWhileCallsAreDeclined guards against a plan that is kept, or not made again, when
+// the planner receives nothing more from the middle of the fault on.
+func TestPlannerLostWhileCallsAreDeclined(t *testing.T) {
+	r := newDeclineRun(0.9, true)
+	r.simulation.after(14*time.Second, func() {
+		lost := r.nodes[0].plannerName(r.now)
+		r.unreachable = func(to int) bool { return r.nodes[to].self.Name == lost }
+	})
+	r.simulate()
+	r.log(t)
+	r.checkRetryLimit(t)
+	for _, route := range []string{"order", "view"} {
+		if o := r.outcomes[route]; o.refused <= o.failed {
+			t.Errorf("%s: %s; want most of the calls refused before they run", route, o)
+		}
+		if o := r.after[route]; o.served < o.sent*99/100 {
+			t.Errorf("%s, a second after deep is sound again: %s", route, o)
+		}
+	}
+}
