--- a/core/state.go
+++ b/core/state.go
@@ -83,6 +83,7 @@
 	warmup              warmupState
 
 	planning     planning
+	declines     declines
 	watch        watch
 	roles        roles
 	distribution distribution
@@ -216,6 +217,7 @@
 	Peers           []member.Peer
 	Gate            admit.Stats
 	Calls           int
+	DeclinedRatio   float64 // of the arrivals at the node's service, by the current plan; 0 if chance explains it
 	OwnedShards     int
 	StoreReachable  bool
 	ManifestVersion uint64
@@ -240,6 +242,7 @@
 		Peers:           append([]member.Peer(nil), s.peers.All()...),
 		Gate:            s.gate.Stats(),
 		Calls:           len(s.calls),
+		DeclinedRatio:   s.declines.ratios[s.self.Service],
 		OwnedShards:     s.shardOwner.ShardCount(),
 		StoreReachable:  s.storeReachable,
 		ManifestVersion: s.manifestVersion(),
