internal/budget, io: clients cannot exhaust memory or descriptors

Clients that sent heads of many short fields took a node with 64 MiB in its settings to 353 MiB, bodies that never came kept ordinary requests from being answered, and connections to all listeners ended the process ("accept4: too many open files").

Cause: limits were constants for each connection, the number of connections of the control, heartbeat, probe and metrics listeners had no limit, the shares of the descriptors left out the connections of calls in progress, and Accept wrapped its errors, so that net/http did not recognize a temporary one.

internal/budget divides the memory and the descriptors of the settings between all kinds of connections and what they hold. io/tcp follows the phase of each connection, charges request heads as they are read, evicts idle connections, then incomplete heads, then stalled bodies and unread responses, and refuses the newest with 503; one address gets at most seven eighths while others ask. Accept goes on after any transient error. The limits of the configuration on the size and time of heads and on idle connections are applied to callers. Outgoing connections, buffers of calls and control messages have limits of their own. celerynode serves HTTP/1.1 only.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
 	"celeryshelf/core/warmup"
+	"celeryshelf/internal/budget"
 	"celeryshelf/internal/clock"
 	"celeryshelf/internal/control"
 	"celeryshelf/internal/relay"
@@ -36,6 +37,10 @@
 	// Time limit for closing the tracer, and for reading the state for a gauge or a
 	// readiness probe.
 	closeTimeout = 2 * time.Second
+	// minNodeIdle is longer than a request takes between nodes. A call that is refused as the
+	// node has too many connections is placed elsewhere; one on a connection that is closed
+	// meanwhile may have run.
+	minNodeIdle = 100 * time.Millisecond
 	// Time limit for revoking the lease at the end of a drain. If that fails, the lease
 	// expires by itself.
 	leaseRevokeTimeout = 500 * time.Millisecond
@@ -55,9 +60,12 @@
 	// StopFirst makes a draining node stop this server, and finish its calls, before it
 	// waits for the calls of the others.
 	StopFirst bool
-	// MaxConns and Refusal limit the open connections; see tcp.ListenerConfig.
-	MaxConns int
-	Refusal  string
+	// Share limits the open connections and the memory of their request heads.
+	Share   budget.Share
+	Refusal string        // see tcp.ListenerConfig
+	MinIdle time.Duration // see tcp.ListenerConfig
+	// RequestLimits applies the limits of the manifest to the headers of requests.
+	RequestLimits bool
 }
 
 // Config holds the dependencies and parameters of an Agent.
@@ -83,7 +91,10 @@
 	TargetClient                      http1.Config
 	NodeTransport                     http.RoundTripper // see relay.Config; must support trailers unless PlannedAdmission is set
 	ReadAheadBytes                    int64             // see relay.Config
-	MaxNodeConns                      int               // limit on connections from other nodes, 0 for none
+	// Shares limits the connections and the memory of their data; the zero value sets no limit.
+	Shares budget.Shares
+	// HTTP1Only says that other nodes use no HTTP/2.
+	HTTP1Only bool
 	// The durations below count from the start of draining.
 	ListenerGrace time.Duration // until the servers with StopFirst stop
 	CallerGrace   time.Duration // until calls from callers are refused, 0 if they never are
@@ -95,6 +106,8 @@
 type Agent struct {
 	Config
 	observer       *observer
+	router         *caller.Router
+	connLog        *connLog
 	loop           *control.Loop
 	control        *node.ControlTransport
 	session        *store.Session
@@ -117,7 +130,8 @@
 	router := &caller.Router{}
 	boot := clock.BootTime{}
 	a.observer = newObserver(c.Logger, router)
-	a.control = node.NewControlTransport(ctx, node.ControlTransportConfig{Name: c.Self.Name, BytesSent: a})
+	a.router, a.connLog = router, newConnLog(c.Logger)
+	a.control = node.NewControlTransport(ctx, node.ControlTransportConfig{Name: c.Self.Name, BytesSent: a, MaxConns: c.Shares.ControlDialled, MaxMessageBytes: c.Shares.MessageBytes})
 	a.session = store.NewSession(store.Config{
 		Client: c.Store, Layout: c.Layout, NodeName: c.Self.Name, Address: c.Self.ControlAddr, LeaseTTL: c.LeaseTTL, MemberLeaseTTL: c.MemberLeaseTTL, ElectWatchers: c.ElectWatchers, Logger: a.observer, Clock: boot,
 	})
@@ -131,13 +145,44 @@
 	a.session.SetSink(a.loop)
 	a.relay = relay.New(relay.Config{
 		Observer: a.observer, Loop: a.loop, Router: router, Dialect: c.NewDialect(router), Tracer: c.Tracer, Clock: boot,
-		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission, ReadAheadBytes: c.ReadAheadBytes,
+		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission, ReadAheadBytes: c.ReadAheadBytes, Buffers: a.newBuffers(),
 	})
 	a.registerGauges()
-	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{})), MaxConns: c.MaxNodeConns, Refusal: node.ConnectionRefusal()})
+	server := node.NewServer(a.relay.NodeHandler(node.RefusalWriter{}))
+	if c.HTTP1Only {
+		server.Protocols = HTTP1()
+	}
+	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: server, Share: c.Shares.Nodes, Refusal: node.ConnectionRefusal(), MinIdle: minNodeIdle})
 	return a
 }
 
+// HTTP1 returns the protocols of a server without HTTP/2, on whose connections the number of
+// requests in progress would not follow from the number of connections.
+func HTTP1() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+// newBuffers returns the pool for the data of calls, or nil for no limit. A full pool ends
+// connections whose clients stall.
+func (a *Agent) newBuffers() relay.BufferPool {
+	if a.Shares.BufferBytes == 0 {
+		return nil
+	}
+	pool := budget.NewPool(a.Shares.BufferBytes)
+	pool.SetEvict(func() bool {
+		for _, s := range a.listeners {
+			if l := a.open[s.Name]; l != nil && l.EvictStalled() {
+				return true
+			}
+		}
+		return false
+	})
+	metrics.GetOrCreateGauge("celeryshelf_buffered_bytes", func() float64 { return float64(pool.Held()) })
+	return pool
+}
+
 // registerGauges registers the gauges of the state of the node.
 func (a *Agent) registerGauges() {
 	gauge := func(name string, read func(v core.Status) float64) {
@@ -239,25 +284,45 @@
 // serve starts all servers and returns the listener for control messages.
 func (a *Agent) serve(ctx context.Context, group *sync.WaitGroup, failed chan<- error) (net.Listener, error) {
 	for _, s := range a.listeners {
-		l, err := tcp.Listen(ctx, tcp.ListenerConfig{Address: s.Address, MaxConns: s.MaxConns, Refusal: s.Refusal})
+		l, err := tcp.Listen(ctx, a.listenerConfig(s))
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
 		}
 		a.open[s.Name] = l
 		s.Server.ConnState, s.Server.ConnContext = l.ConnState, tcp.WithConn
+	}
+	for _, s := range a.listeners {
+		l := a.open[s.Name]
 		group.Go(func() {
 			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.Name, err)
 			}
 		})
 	}
-	l, err := tcp.Listen(ctx, tcp.ListenerConfig{Address: cmp.Or(a.ControlListenAddr, a.Self.ControlAddr)})
+	l, err := tcp.Listen(ctx, tcp.ListenerConfig{
+		Address: cmp.Or(a.ControlListenAddr, a.Self.ControlAddr), MaxConns: a.Shares.Control.Conns, Messages: true, Observer: a.connLog.listener("control"),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listen for control: %w", err)
 	}
 	return l, nil
 }
 
+// listenerConfig returns the configuration of the listener for a server.
+func (a *Agent) listenerConfig(s Listener) tcp.ListenerConfig {
+	c := tcp.ListenerConfig{
+		Address: s.Address, MaxConns: s.Share.Conns, MaxRefused: s.Share.Refused, MaxHeadBytes: s.Share.HeadBytes,
+		Refusal: s.Refusal, MinIdle: s.MinIdle, Observer: a.connLog.listener(s.Name),
+	}
+	if s.RequestLimits {
+		c.Limits = func() tcp.Limits {
+			limits := a.router.Limits()
+			return tcp.Limits{HeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout.Duration, IdleTimeout: limits.IdleTimeout.Duration}
+		}
+	}
+	return c
+}
+
 // announce submits the member record of the node, which the session writes to the store
 // once it holds a lease.
 func (a *Agent) announce(ctx context.Context) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,6 +28,7 @@
 	apiKey    string
 	origin    core.Origin
 	requestID string // chosen by the sender
+	held      *holding
 
 	status   int  // of the response or refusal that was written
 	complete bool // it was written completely
@@ -185,6 +186,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	f := core.AttemptFailed{Cause: core.CauseUnreachable, Executed: core.ExecutedNo}
+	if errors.Is(err, http1.ErrTooManyConns) { // says nothing about the endpoint
+		f.Cause, f.Reason = core.CauseRejected, core.ReasonOverloaded
+	}
 	if sent {
 		f.Cause, f.Executed = core.CauseConnectionLost, core.ExecutedUnknown
 	}
@@ -255,7 +259,7 @@
 // bufferResponse reads the body of a response of known, small size into memory.
 func (x *exchange) bufferResponse() error {
 	res := x.response
-	if res.ContentLength <= 0 || res.ContentLength > maxBufferedResponseBytes {
+	if res.ContentLength <= 0 || res.ContentLength > maxBufferedResponseBytes || !x.held.reserve(int(res.ContentLength)) {
 		return nil
 	}
 	buffered := make([]byte, res.ContentLength)
@@ -348,7 +352,20 @@
 	return &recorder{}
 }
 
-const copyBuffer = 32 << 10
+const (
+	copyBuffer = 32 << 10
+	// minCopyBuffer is used while other calls hold the memory for buffers.
+	minCopyBuffer = 2 << 10
+)
+
+// copyBufferSize returns the size of the buffer for a body of n bytes.
+func (x *exchange) copyBufferSize(n int64) int64 {
+	size := min(copyBuffer, n)
+	if size > minCopyBuffer && !x.held.reserve(int(size)) {
+		return minCopyBuffer
+	}
+	return size
+}
 
 // stream copies the body. It flushes after each read if the length is unknown.
 func (x *exchange) stream(res *http.Response, rec *recorder) error {
@@ -360,7 +377,7 @@
 		sink = io.MultiWriter(x.w, rec)
 	}
 	if res.ContentLength > 0 {
-		buf := make([]byte, min(copyBuffer, res.ContentLength))
+		buf := make([]byte, x.copyBufferSize(res.ContentLength))
 		_, err := io.CopyBuffer(writerOnly{sink}, res.Body, buf)
 		return err
 	}
@@ -369,7 +386,7 @@
 
 func (x *exchange) streamFlushed(from io.Reader, sink io.Writer) error {
 	flusher := http.NewResponseController(x.w)
-	buf := make([]byte, copyBuffer)
+	buf := make([]byte, x.copyBufferSize(copyBuffer))
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,7 @@
 	// ReadAheadBytes limits the bytes of long bodies that are read before the target reads them,
 	// for all calls together. 0 stands for DefaultReadAheadBytes.
 	ReadAheadBytes int64
+	Buffers        BufferPool // nil for no limit
 }
 
 // Relay forwards the calls of one node.
@@ -120,7 +121,9 @@
 }
 
 func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, limits manifest.Limits, refuser Refuser, apiKey string) {
-	body, why := r.open(req, limits)
+	held := holding{pool: r.Buffers}
+	defer held.release()
+	body, why := r.open(req, limits, &held)
 	if why != core.ReasonNone {
 		w.Header().Set("Connection", "close")
 		refuser.Refuse(w, core.Verdict{Reason: why})
@@ -141,7 +144,7 @@
 	span.SetAttribute("route", a.Route.Name+a.Context.Route)
 	x := &exchange{
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
-		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID,
+		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID, held: &held,
 	}
 	if body.stream != nil {
 		defer x.startStream()()
@@ -176,7 +179,7 @@
 
 // open checks the size of a request and prepares its body. It returns the reason for
 // which the request is refused, or ReasonNone.
-func (r *Relay) open(req *http.Request, limits manifest.Limits) (body, core.Reason) {
+func (r *Relay) open(req *http.Request, limits manifest.Limits, held *holding) (body, core.Reason) {
 	if limits.MaxHeaderBytes > 0 && headerSize(req.Header) > limits.MaxHeaderBytes {
 		return body{}, core.ReasonHeaderTooLarge
 	}
@@ -185,7 +188,11 @@
 			return body{}, core.ReasonBodyTooLarge
 		}
 	}
+	if !held.reserve(bodyMemory(req)) {
+		return body{}, core.ReasonOverloaded
+	}
 	b, err := openBody(req, limits.MaxBodyBytes)
+	req.Trailer = nil // not forwarded
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -15,6 +15,7 @@
 	"celeryshelf/core/retry"
 	"celeryshelf/core/warmup"
 	"celeryshelf/internal/agent"
+	"celeryshelf/internal/budget"
 	"celeryshelf/internal/logging"
 	"celeryshelf/internal/relay"
 	"celeryshelf/internal/settings"
@@ -46,16 +47,10 @@
 	// refused. It is below one half because the platform does not count a request as lost if
 	// it was sent in the first half of that time and its target still works on it in the last
 	// sixth. It counts requests that were sent later.
-	callerGraceRatio = 0.45
-	// readAheadDivisor is the part of the memory for bodies that are read ahead of their target.
-	readAheadDivisor  = 16
+	callerGraceRatio  = 0.45
 	readHeaderTimeout = 5 * time.Second
 	// maxLocalHeaderBytes limits the heads of heartbeats, probes and requests for metrics.
 	maxLocalHeaderBytes = 16 << 10
-	// Fractions of the descriptors of the process; see descriptorShares.
-	callerDescriptorRatio = 0.35
-	nodeDescriptorRatio   = 0.25
-	idleDescriptorRatio   = 0.15
 	// memberLeaseFactor is the ratio of the member record's time to live to that of the shard
 	// claims. Peers find out by themselves that a node does not answer, so that its record may
 	// outlive it for longer; each renewal is billed.
@@ -87,8 +82,8 @@
 	defer stop()
 	nodeAddr, controlAddr := s.AdvertisedAddresses()
 	dialect := platform.Dialect{Service: s.Service}
-	share := descriptorShares(s.Descriptors)
-	idle := http1.NewIdleLimit(share.idle)
+	shares := budget.NewShares(s.MemoryMiB, s.Descriptors)
+	outgoing := http1.NewConnLimit(shares.Outgoing)
 	a := agent.New(work, agent.Config{
 		Self: member.Member{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
@@ -100,35 +95,22 @@
 		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
-		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes, ReadAheadBytes: int64(s.MemoryMiB) * (1 << 20) / readAheadDivisor,
-		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect, Idle: idle, MaxHeadBytes: s.MaxHeadBytes},
+		NodeTransport: node.NewHTTP1Transport(outgoing), Shares: shares, HTTP1Only: true, ReadAheadBytes: int64(shares.ReadAheadBytes),
+		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect, Conns: outgoing, MaxHeadBytes: s.MaxHeadBytes},
 		ListenerGrace: listenerGrace, TargetGrace: listenerGrace, CallerGrace: time.Duration(callerGraceRatio * float64(s.StopTimeout.Duration)), DrainTimeout: time.Duration(drainTimeoutRatio * float64(s.StopTimeout.Duration)),
 	})
-	a.AddListener(agent.Listener{Name: "callers", Address: s.Listen.Caller, Server: caller.NewServer(a.CallHandler(core.FromCallerOrTarget)), MaxConns: share.callers, Refusal: platform.ConnectionRefusal})
+	callers := caller.NewServer(a.CallHandler(core.FromCallerOrTarget))
+	callers.Protocols = agent.HTTP1()
+	a.AddListener(agent.Listener{Name: "callers", Address: s.Listen.Caller, Server: callers, Share: shares.Callers, Refusal: platform.ConnectionRefusal, RequestLimits: true})
 	registry := platform.HeartbeatServer{Registrar: a, Service: s.Service, Address: s.Target, Log: log}
-	a.AddListener(agent.Listener{Name: "heartbeats", Address: s.Listen.Heartbeat, Server: server(registry.Handler())})
-	a.AddListener(agent.Listener{Name: "prober", Address: s.Listen.Ready, Server: server(platform.ReadinessHandler(a))})
-	a.AddListener(agent.Listener{Name: "metrics", Address: s.Listen.Metrics, Server: server(metricsHandler())})
+	a.AddListener(agent.Listener{Name: "heartbeats", Address: s.Listen.Heartbeat, Server: server(registry.Handler()), Share: shares.Local})
+	a.AddListener(agent.Listener{Name: "prober", Address: s.Listen.Ready, Server: server(platform.ReadinessHandler(a)), Share: shares.Local})
+	a.AddListener(agent.Listener{Name: "metrics", Address: s.Listen.Metrics, Server: server(metricsHandler()), Share: shares.Local})
 	r := reloader{file: file, inForce: s, node: runningNode{a}, log: log}
 	go r.run(work)
 	return a.Run(ctx)
 }
 
-// shares holds limits on connections, which keep the process below its limit on descriptors.
-type shares struct {
-	callers int // from callers and the target
-	nodes   int // from other nodes
-	idle    int // kept to the target and other nodes
-}
-
-// descriptorShares divides the descriptors of a process. What is left over serves calls in
-// progress to the target and other nodes, whose number admission control limits, control
-// connections and files.
-func descriptorShares(descriptors int) shares {
-	part := func(ratio float64) int { return int(ratio * float64(descriptors)) }
-	return shares{callers: part(callerDescriptorRatio), nodes: part(nodeDescriptorRatio), idle: part(idleDescriptorRatio)}
-}
-
 // storeLayout returns the keys that the node reads in the store. Those of evacuated domains are
 // among them if the settings say by when an evacuation must take effect.
 func storeLayout(s settings.Sidecar) store.Layout {
--- a/io/caller/router.go
+++ b/io/caller/router.go
@@ -46,3 +46,11 @@
 	t := r.table.Load()
 	return t != nil && t.digests[d]
 }
+
+// Limits returns the limits on requests of the current manifest, none if there is none.
+func (r *Router) Limits() manifest.Limits {
+	if t := r.table.Load(); t != nil {
+		return t.limits
+	}
+	return manifest.Limits{}
+}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -57,8 +57,8 @@
 	// MaxHeadBytes limits the size of a response head, with the interim responses before
 	// it, in bytes. 0 stands for DefaultMaxHeadBytes.
 	MaxHeadBytes int
-	// Idle limits the idle connections of this and other clients, nil for a limit of its own.
-	Idle *IdleLimit
+	// Conns limits the connections of this and other clients, nil for a limit of its own.
+	Conns *ConnLimit
 }
 
 // Client sends requests to one address. It never retries a request.
@@ -74,10 +74,10 @@
 	if c.DialTimeout > 0 {
 		client.dialer.Timeout = c.DialTimeout
 	}
-	if c.Idle == nil {
-		client.Idle = NewIdleLimit(maxIdleConns)
+	if c.Conns == nil {
+		client.Conns = NewConnLimit(maxConns)
 	}
-	client.pool.limit = client.Idle
+	client.pool.limit = client.Conns
 	if c.MaxHeadBytes == 0 {
 		client.MaxHeadBytes = DefaultMaxHeadBytes
 	}
@@ -113,11 +113,16 @@
 	if conn := c.pool.get(time.Now()); conn != nil {
 		return conn, nil
 	}
+	if !c.Conns.acquire() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrTooManyConns)
+	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
+		c.Conns.release()
 		return nil, fmt.Errorf("%w: dial: %w", ErrNotSent, err)
 	}
-	conn := &connection{Conn: raw, source: limitedReader{Reader: raw}}
+	conn := &connection{Conn: raw, source: limitedReader{Reader: raw}, limit: c.Conns}
+	conn.counted.Store(true)
 	conn.attachReader()
 	return conn, nil
 }
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -27,9 +27,9 @@
 	// idleTimeoutFraction is the fraction of the target's keep-alive timeout after which
 	// a connection is no longer used: the target starts its timer earlier.
 	idleTimeoutFraction = 0.8
-	// maxIdleConns limits the idle connections of a client without an IdleLimit. Admission
-	// control limits those in use.
-	maxIdleConns = 1024
+	// maxIdleConns limits the connections of a client without a ConnLimit. Those
+	// in use are limited by admission control as well.
+	maxConns = 8192
 )
 
 // connection is a connection that carries one request at a time.
@@ -43,9 +43,11 @@
 	writeErr      error           // result of that request, once written is closed
 	writeFailed   atomic.Bool     // the connection has failed a write
 	stopCancel    func() bool
-	reuseDeadline time.Time     // the connection is not reused from this time on
+	reuseDeadline time.Time // the connection is not reused from this time on
+	limit         *ConnLimit
+	counted       atomic.Bool   // in limit
 	owner         *pool         // of an idle connection
-	position      *list.Element // of an idle connection in its IdleLimit
+	position      *list.Element // of an idle connection in its ConnLimit
 }
 
 // limitedReader limits the bytes that are read while a response head is parsed.
@@ -124,21 +126,59 @@
 // belongs to no request.
 func (c *connection) reusable() bool { return tcp.Quiet(c.Conn) }
 
-// IdleLimit limits the idle connections of several clients together. Beyond it, the
-// connection that has been idle the longest is closed.
-type IdleLimit struct {
+// ErrTooManyConns reports that the limit on connections is reached and none is idle.
+var ErrTooManyConns = errors.New("too many connections are open")
+
+// ConnLimit limits the connections of several clients together, in use and idle. Beyond it,
+// the connection that has been idle the longest is closed.
+type ConnLimit struct {
 	max  int
 	mu   sync.Mutex
+	open int
 	idle list.List // of *connection, the most recently used one last
 }
 
-// NewIdleLimit returns a limit of n idle connections.
-func NewIdleLimit(n int) *IdleLimit { return &IdleLimit{max: n} }
+// NewConnLimit returns a limit of n connections.
+func NewConnLimit(n int) *ConnLimit { return &ConnLimit{max: n} }
+
+// acquire counts a connection that is about to be dialled, and reports whether it may be.
+func (l *ConnLimit) acquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.max {
+		front := l.idle.Front()
+		if front == nil {
+			return false
+		}
+		oldest := front.Value.(*connection)
+		oldest.owner.remove(oldest, slices.Index(oldest.owner.idle, oldest))
+		_ = oldest.Conn.Close()
+		oldest.counted.Store(false)
+		l.open--
+	}
+	l.open++
+	return true
+}
+
+func (l *ConnLimit) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+}
+
+// Close closes the connection and no longer counts it.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	if c.counted.CompareAndSwap(true, false) {
+		c.limit.release()
+	}
+	return err
+}
 
 // pool holds the idle connections of one client, the most recently used one last. The limit's
 // mutex guards them.
 type pool struct {
-	limit *IdleLimit
+	limit *ConnLimit
 	idle  []*connection
 }
 
--- a/io/http1/fuzz_test.go
+++ b/io/http1/fuzz_test.go
@@ -34,6 +34,9 @@
 			t.Errorf("returned status %d", res.StatusCode)
 		}
 		defer func() { _ = res.Body.Close() }()
+		if held, bound := headerBytes(res.Header), fieldBytes*(c.MaxHeadBytes+conn.reader.Size()); held > bound {
+			t.Errorf("the headers hold %d bytes, more than %d", held, bound)
+		}
 		n, err := io.Copy(io.Discard, res.Body)
 		if err == nil && res.ContentLength >= 0 && n != res.ContentLength {
 			t.Errorf("a body of %d bytes has %d without an error", res.ContentLength, n)
@@ -43,3 +46,18 @@
 		}
 	})
 }
+
+// fieldBytes is the memory of a header field beside its text: a map entry, a slice and strings.
+const fieldBytes = 112
+
+// headerBytes estimates the memory of headers.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		n += len(name)
+		for _, v := range values {
+			n += len(v) + fieldBytes
+		}
+	}
+	return n
+}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -41,6 +41,12 @@
 type ControlTransportConfig struct {
 	Name      string // name of this node
 	BytesSent ByteCounter
+	// MaxConns limits the connections that are dialled, 0 for no limit. Beyond it messages
+	// to further peers are dropped.
+	MaxConns int
+	// MaxMessageBytes limits the memory of the messages that are being read, in bytes, 0 for
+	// no limit.
+	MaxMessageBytes int
 }
 
 // ControlTransport sends control messages to peers and receives theirs.
@@ -48,6 +54,7 @@
 	ControlTransportConfig
 	sink    Sink
 	ctx     context.Context
+	reading *messageLimit
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
 	senders sync.WaitGroup
@@ -65,7 +72,7 @@
 
 // NewControlTransport returns a transport that works until the context is done.
 func NewControlTransport(ctx context.Context, c ControlTransportConfig) *ControlTransport {
-	return &ControlTransport{ControlTransportConfig: c, ctx: ctx, peers: map[netip.AddrPort]*peer{}}
+	return &ControlTransport{ControlTransportConfig: c, ctx: ctx, peers: map[netip.AddrPort]*peer{}, reading: newMessageLimit(c.MaxMessageBytes)}
 }
 
 // SetSink sets the receiver of events. It must be called once, before Serve and Send.
@@ -80,6 +87,9 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[e.Address]
 	if !ok {
+		if c.MaxConns > 0 && len(c.peers) >= c.MaxConns {
+			return
+		}
 		p = &peer{address: e.Address, wake: make(chan struct{}, 1)}
 		c.peers[e.Address] = p
 		c.senders.Go(func() { c.runSender(p) })
@@ -214,7 +224,7 @@
 }
 
 func (c *ControlTransport) newConn(conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: conn}, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(&deadlineConn{Conn: conn}, boundedCodec{conn: conn, limit: c.reading})
 	return jsonrpc2.NewConn(c.ctx, stream, jsonrpc2.HandlerWithError(c.handle), jsonrpc2.SetLogger(discardLogger{}))
 }
 
--- a/io/node/transport.go
+++ b/io/node/transport.go
@@ -68,15 +68,15 @@
 // HTTP1Transport sends requests to other nodes over HTTP/1.1. It uses less CPU time than
 // HTTP/2, but does not receive the outcomes of calls.
 type HTTP1Transport struct {
-	idle    *http1.IdleLimit
+	conns   *http1.ConnLimit
 	mu      sync.Mutex
 	clients map[string]*http1.Client // by address
 }
 
-// NewHTTP1Transport returns the HTTP/1.1 client for calls to other nodes, with a limit on idle
+// NewHTTP1Transport returns the HTTP/1.1 client for calls to other nodes, with a limit on
 // connections that it may share with other clients.
-func NewHTTP1Transport(idle *http1.IdleLimit) *HTTP1Transport {
-	return &HTTP1Transport{idle: idle, clients: map[string]*http1.Client{}}
+func NewHTTP1Transport(conns *http1.ConnLimit) *HTTP1Transport {
+	return &HTTP1Transport{conns: conns, clients: map[string]*http1.Client{}}
 }
 
 // RoundTrip sends a request to the node at the address in its URL. After any error but
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse node address: %w", err)
 	}
-	c := http1.NewClient(http1.Config{Address: address, DialTimeout: dialTimeout, Idle: t.idle})
+	c := http1.NewClient(http1.Config{Address: address, DialTimeout: dialTimeout, Conns: t.conns})
 	t.clients[host] = c
 	return c, nil
 }
--- a/io/tcp/listener.go
+++ b/io/tcp/listener.go
@@ -1,17 +1,13 @@
 package tcp
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,28 +20,85 @@
 	backlogTime = 50 * time.Millisecond
 	// settleInterval is the interval at which Drain checks connections that are being read.
 	settleInterval = 5 * time.Millisecond
+	// Accept is called again after a transient error, such as too many open files, with a
+	// delay that doubles from the first to the second value.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 500 * time.Millisecond
 )
 
+// Limits are the operators' limits on requests. A zero value sets no limit.
+type Limits struct {
+	HeaderBytes   int           // headers of a request, in bytes
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its headers
+	IdleTimeout   time.Duration // between requests
+}
+
+// Ending says why a listener ended a connection by itself.
+type Ending string
+
+// Endings of connections, in the order in which they are chosen.
+const (
+	EndedIdle     Ending = "idle"      // evicted between requests
+	EndedHead     Ending = "head"      // evicted with an incomplete request head
+	EndedBody     Ending = "body"      // evicted while the rest of a body did not come
+	EndedUnread   Ending = "unread"    // evicted while its response was not read
+	EndedRefused  Ending = "refused"   // refused as the share is exhausted
+	EndedAddress  Ending = "address"   // refused as one client address holds most of the share
+	EndedHeadSize Ending = "head-size" // headers beyond the limit
+	EndedHeadTime Ending = "head-time" // headers not complete in time
+	EndedHeadRoom Ending = "head-room" // no memory for its headers
+	AcceptFailed  Ending = "accept"    // not accepted: a transient error
+)
+
+// Endings lists all endings.
+var Endings = []Ending{EndedIdle, EndedHead, EndedBody, EndedUnread, EndedRefused, EndedAddress, EndedHeadSize, EndedHeadTime, EndedHeadRoom, AcceptFailed}
+
+// Observer receives the connections that a listener ended by itself. Its method must not
+// block. The address and the error may be zero.
+type Observer interface {
+	ConnEnded(why Ending, from netip.Addr, err error)
+}
+
 // ListenerConfig holds the parameters of a Listener.
 type ListenerConfig struct {
 	Address netip.AddrPort
 	// MaxConns limits the open connections, 0 for no limit. A further connection replaces
-	// the one that has been idle the longest, or is refused.
+	// one that holds no complete request, or is refused; see evict.
 	MaxConns int
+	// MinIdle is how long a connection must have been idle to be replaced. A client that reuses
+	// a connection while it is closed does not know whether its request has run.
+	MinIdle time.Duration
+	// MaxRefused limits the connections that are being refused with the Refusal. Further
+	// ones are closed.
+	MaxRefused int
+	// MaxHeadBytes limits the memory of the request heads on all connections together, as
+	// estimated by headMeter, in bytes. 0 sets no limit.
+	MaxHeadBytes int
 	// Refusal is the HTTP response on a connection that is refused.
 	Refusal string
+	// Limits returns the limits on the next request; nil for none.
+	Limits func() Limits
+	// Messages says that connections do not carry HTTP requests. They count as idle since
+	// they were last read.
+	Messages bool
+	Observer Observer // nil for none
 }
 
 // Listener accepts connections for an http.Server and can drain them: unlike
-// http.Server.Shutdown it cuts off no connection on which a request has arrived.
+// http.Server.Shutdown it cuts off no connection on which a request has arrived. It ends
+// connections when their number or the memory of their request heads reaches a limit.
 type Listener struct {
 	*net.TCPListener
 	ListenerConfig
+	accept   func() (*net.TCPConn, error)
 	refusing atomic.Int32
-	mu       sync.Mutex
+	mu       sync.Mutex // guards the fields below, and the state of the connections
 	draining bool
 	closed   bool
 	conns    map[*serverConn]struct{}
+	phases   [phaseCount]connList
+	sources  sources
+	headHeld int // memory of request heads, in bytes
 }
 
 // Listen listens on an address.
@@ -54,25 +107,44 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", c.Address, err)
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), ListenerConfig: c, conns: map[*serverConn]struct{}{}}, nil
+	listener := l.(*net.TCPListener)
+	return &Listener{
+		TCPListener: listener, ListenerConfig: c, accept: listener.AcceptTCP,
+		conns: map[*serverConn]struct{}{}, sources: sources{counts: map[netip.Addr]int{}},
+	}, nil
 }
 
-// Accept returns the next connection. After Drain it returns net.ErrClosed once the
-// connections that had arrived are accepted.
+// Accept returns the next connection. It waits after a transient error, such as too many
+// open files, and accepts again. After Drain it returns net.ErrClosed once the connections
+// that had arrived are accepted. Errors are not wrapped, because net/http recognizes a
+// temporary error only by its type.
 func (l *Listener) Accept() (net.Conn, error) {
+	delay := minAcceptDelay
 	for {
-		raw, err := l.AcceptTCP()
-		if err != nil {
-			return nil, l.acceptError(err)
+		raw, err := l.accept()
+		if err == nil {
+			delay = minAcceptDelay
+			if c := l.admit(raw); c != nil {
+				return c, nil
+			}
+			continue
 		}
-		if c := l.admit(raw); c != nil {
-			return c, nil
+		if final := l.finalError(err); final != nil {
+			return nil, final
 		}
-		l.refuse(raw)
+		l.ended(AcceptFailed, netip.Addr{}, err)
+		if isDescriptorShortage(err) {
+			l.mu.Lock()
+			l.evict(time.Now(), anyAddress)
+			l.mu.Unlock()
+		}
+		time.Sleep(delay)
+		delay = min(2*delay, maxAcceptDelay)
 	}
 }
 
-func (l *Listener) acceptError(err error) error {
+// finalError returns the error with which Accept ends, or nil after a transient error.
+func (l *Listener) finalError(err error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.draining && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -80,75 +152,20 @@
 		_ = l.TCPListener.Close()
 		return net.ErrClosed
 	}
-	return fmt.Errorf("accept: %w", err)
-}
-
-// admit adds a connection, or returns nil if the limit is reached and no connection is idle.
-func (l *Listener) admit(raw *net.TCPConn) *serverConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.MaxConns > 0 && len(l.conns) >= l.MaxConns && !l.endLongestIdle() {
-		return nil
+	if l.closed || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.EBADF) {
+		return err
 	}
-	c := &serverConn{Conn: newConn(raw), listener: l}
-	l.conns[c] = struct{}{}
-	return c
+	return nil
 }
 
-// endLongestIdle ends the connection that has been idle the longest and reports whether
-// there was one.
-func (l *Listener) endLongestIdle() bool {
-	var longest *serverConn
-	var since time.Time
-	for c := range l.conns {
-		if at, idle := c.idleSince(); idle && (longest == nil || at.Before(since)) {
-			longest, since = c, at
-		}
-	}
-	if longest == nil || !longest.endIfIdle() {
-		return false
-	}
-	delete(l.conns, longest)
-	return true
+func isDescriptorShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
-const (
-	// maxRefusing limits the connections that are being refused; further ones are closed.
-	maxRefusing = 32
-	refuseTime  = 500 * time.Millisecond
-	// maxRefusedBytes is how much of a refused request is read before the response. Closing
-	// a connection with unread bytes would discard the response.
-	maxRefusedBytes = 64 << 10
-)
-
-// refuse answers the first request on a connection with the Refusal and closes it.
-func (l *Listener) refuse(c *net.TCPConn) {
-	if l.Refusal == "" || l.refusing.Add(1) > maxRefusing {
-		l.refusing.Add(-1)
-		_ = c.Close()
-		return
+func (l *Listener) ended(why Ending, from netip.Addr, err error) {
+	if l.Observer != nil {
+		l.Observer.ConnEnded(why, from, err)
 	}
-	go func() {
-		defer func() {
-			_ = c.Close()
-			l.refusing.Add(-1)
-		}()
-		if c.SetDeadline(time.Now().Add(refuseTime)) != nil {
-			return
-		}
-		head := bufio.NewReader(io.LimitReader(c, maxRefusedBytes))
-		for line := "-"; strings.TrimSpace(line) != ""; {
-			var err error
-			if line, err = head.ReadString('\n'); err != nil {
-				return
-			}
-		}
-		if _, err := io.WriteString(c, l.Refusal); err != nil {
-			return
-		}
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, io.LimitReader(c, maxRefusedBytes)) // until the peer closes
-	}()
 }
 
 // Close closes the listener. It may be called more than once: a server also closes the
@@ -167,6 +184,8 @@
 // server, whose connections Drain otherwise takes for idle.
 func (l *Listener) ConnState(c net.Conn, s http.ConnState) {
 	if c, ok := c.(*serverConn); ok {
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		c.setState(s)
 	}
 }
@@ -209,115 +228,3 @@
 	}
 	return pending
 }
-
-// http2Preface is the beginning of an HTTP/2 connection.
-var http2Preface = []byte("PRI")
-
-// serverConn is an accepted connection.
-type serverConn struct {
-	net.Conn
-	listener *Listener
-	mu       sync.Mutex
-	state    http.ConnState
-	reading  bool // bytes of a request have been read since the last response
-	ended    bool // no further request is read
-	started  bool // bytes have been read
-	// http2 is set if the connection carries HTTP/2, on which pings and other frames arrive
-	// also when it is idle. The server ends it without cutting off a request.
-	http2  bool
-	idleAt time.Time // when the last response was complete
-}
-
-// idleSince returns when the connection became idle; idle is false while it is not.
-func (c *serverConn) idleSince() (at time.Time, idle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.idleAt, c.state == http.StateIdle && !c.reading && !c.ended
-}
-
-// Read reads from the connection.
-func (c *serverConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		if !c.started {
-			c.started, c.http2 = true, bytes.HasPrefix(p[:n], http2Preface)
-		}
-		c.reading = true
-		if c.ended { // the request had arrived before
-			c.ended = false
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		}
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
-// SetReadDeadline sets the read deadline, unless the connection has been ended.
-func (c *serverConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// SetDeadline sets both deadlines, the one for reading unless the connection has been ended.
-func (c *serverConn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(t)
-}
-
-// Close closes the connection.
-func (c *serverConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
-}
-
-func (c *serverConn) setState(s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state = s
-	if s == http.StateIdle {
-		c.reading, c.idleAt = false, time.Now()
-	}
-}
-
-// endIfIdle ends the connection if no request is being read or has arrived. It returns false
-// if one is being read that the server has not taken up: Shutdown would cut it off.
-func (c *serverConn) endIfIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.http2 || c.state == http.StateActive || c.state == http.StateHijacked || c.state == http.StateClosed || c.ended:
-		return true
-	case c.reading || c.hasUnreadData():
-		return false
-	}
-	c.ended = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	return true
-}
-
-// hasUnreadData reports whether data has arrived that has not been read.
-func (c *serverConn) hasUnreadData() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	found := false
-	err = raw.Control(func(fd uintptr) {
-		n, errno := peek(fd)
-		found = errno == 0 && n > 0
-	})
-	return err == nil && found
-}
