--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -95,7 +95,7 @@
 	})
 	r := relay.New(relay.Config{
 		Observer: n, Loop: n.loop, Router: n.router, Dialect: caller.Dialect{Keys: n.router}, Tracer: relay.NopTracer{}, Clock: clock.BootTime{},
-		TargetTransport: http1.NewClient(http1.Config{Address: target}), NodeTransport: node.NewHTTP1Transport(http1.NewIdleLimit(64)),
+		TargetTransport: http1.NewClient(http1.Config{Address: target}), NodeTransport: node.NewHTTP1Transport(http1.NewConnLimit(64)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
