--- a/core/arrival.go
+++ b/core/arrival.go
@@ -92,7 +92,7 @@
 	}
 	s.setIdempotencyKey(c, e.IdempotencyHash)
 	if !s.admitsUnderLoad(now, c, e) {
-		s.refuse(now, c, s.reasonForShedding(c))
+		s.refuse(now, c, ReasonShed)
 		return
 	}
 	s.takeToken(now, c)
--- a/core/call.go
+++ b/core/call.go
@@ -201,7 +201,7 @@
 	switch reason {
 	case ReasonOverQuota, ReasonShed, ReasonOverloaded, ReasonNoEndpoint, ReasonAttemptFailed, ReasonDraining, ReasonDeadlineExceeded, ReasonTargetCold:
 		return short
-	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated, ReasonDeclining:
+	case ReasonQuotaUnavailable, ReasonNoManifest, ReasonIsolated:
 		return longRetryFactor * short
 	default:
 		return 0
--- a/core/decline.go
+++ b/core/decline.go
@@ -17,9 +17,6 @@
 type declines struct {
 	arrivals plan.Arrivals      // at the local target since the last report
 	ratios   map[string]float64 // by service, from the current plan
-	// restricted holds the calls of which the current plan refuses some because a service on
-	// their path declines calls.
-	restricted map[admissionKey]bool
 	// logged holds the services that this node has logged as the planner, with the time of the
 	// last plan in which they declined calls.
 	logged map[string]time.Time
@@ -36,29 +33,23 @@
 }
 
 // applyDeclining stores what a plan says of services that decline calls.
-func (s *State) applyDeclining(admitted []plan.AdmitRatio, ratios []plan.DeclinedRatio) {
+func (s *State) applyDeclining(ratios []plan.DeclinedRatio) {
 	clear(s.declines.ratios)
-	clear(s.declines.restricted)
 	if len(ratios) == 0 {
 		return
 	}
 	if s.declines.ratios == nil {
-		s.declines.ratios, s.declines.restricted = map[string]float64{}, map[admissionKey]bool{}
+		s.declines.ratios = map[string]float64{}
 	}
 	for _, d := range ratios {
 		s.declines.ratios[d.Service] = d.Ratio
 	}
-	for _, a := range admitted {
-		if a.Declining {
-			s.declines.restricted[admissionKey{a.Route, a.Class}] = true
-		}
-	}
 }
 
 // expireDeclining drops what a plan said that is no longer applied.
 func (s *State) expireDeclining(now time.Time) {
 	if len(s.declines.ratios) > 0 && now.Sub(s.planning.receivedAt) > planTTL {
-		s.applyDeclining(nil, nil)
+		s.applyDeclining(nil)
 	}
 }
 
@@ -88,14 +79,6 @@
 	return s.declines.ratios[service] > 0 && now.Sub(s.planning.receivedAt) <= planTTL
 }
 
-// reasonForShedding returns why overload control does not admit a call.
-func (s *State) reasonForShedding(c *call) Reason {
-	if s.declines.restricted[admissionKey{c.route, c.rank.Class}] {
-		return ReasonDeclining
-	}
-	return ReasonShed
-}
-
 // allowRetry reports whether the limit on retries at a call's service allows another one.
 // While the service declines calls, the retries go to the trees that are the most important and
 // the closest to their end; spread evenly they would let hardly any whole tree succeed.
--- a/core/effect.go
+++ b/core/effect.go
@@ -85,7 +85,6 @@
 	ReasonBodyTooLarge                // the body exceeds the limit in the manifest
 	ReasonHeaderTooLarge              // the headers exceed the limit in the manifest
 	ReasonTargetCold                  // the target is cold and has received as many calls as it may for now
-	ReasonDeclining                   // a service on the call's path declines calls, so that it would fail
 )
 
 // Verdict is the decision on one call.
--- a/core/membership.go
+++ b/core/membership.go
@@ -160,7 +160,7 @@
 	case *Plan:
 		s.handleConfirmation(now, e.From, &m.Confirmation)
 		s.applyPlan(now, m.AdmitRatios)
-		s.applyDeclining(m.AdmitRatios, m.Declining)
+		s.applyDeclining(m.Declining)
 	case *IdempotencyRecord:
 		s.handleRecord(now, e.From, m)
 	case *IdempotencyRecordAck:
--- a/core/names.go
+++ b/core/names.go
@@ -3,7 +3,7 @@
 var reasonNames = [...]string{
 	ReasonNone: "none", ReasonNoManifest: "no-manifest", ReasonUnknownRoute: "unknown-route",
 	ReasonUnknownKey: "unknown-key", ReasonNoContext: "no-context", ReasonOverQuota: "over-quota",
-	ReasonQuotaUnavailable: "quota-unavailable", ReasonShed: "shed", ReasonDeclining: "declining", ReasonOverloaded: "overloaded",
+	ReasonQuotaUnavailable: "quota-unavailable", ReasonShed: "shed", ReasonOverloaded: "overloaded",
 	ReasonNoEndpoint: "no-endpoint", ReasonDeadlineExceeded: "deadline", ReasonDraining: "draining",
 	ReasonRetryBudgetExhausted: "budget-spent", ReasonAttemptFailed: "attempt-failed", ReasonDuplicate: "duplicate",
 	ReasonWrongTarget: "wrong-target", ReasonIsolated: "isolated", ReasonBadBody: "bad-body", ReasonBodyTooLarge: "body-too-large",
--- a/core/plan/planner.go
+++ b/core/plan/planner.go
@@ -49,8 +49,6 @@
 	Route string  `json:"route"`
 	Class uint8   `json:"class"`
 	Ratio float64 `json:"share"`
-	// Declining reports that calls are refused because a service on their path declines calls.
-	Declining bool `json:"declining,omitempty"`
 }
 
 // TrafficSplit returns the services that serve the calls on a route, with the fraction of
@@ -79,7 +77,6 @@
 	binding map[string]bool      // services whose capacity made the last plan restrict calls
 
 	declines  declineEstimator
-	retries   RetryLimit
 	declining []DeclinedRatio // with the last plan
 }
 
@@ -112,10 +109,9 @@
 // Replan computes a new plan from the reports that have not expired.
 func (p *Planner) Replan(now time.Time, services TrafficSplit) {
 	maps.DeleteFunc(p.reports, func(_ string, r timedReport) bool { return now.Sub(r.receivedAt) > reportTTL })
-	sv := &solver{split: services, costs: p.withKnownCosts(now, p.mergedCosts()), treeCosts: treeSums{}, treeCalls: treeSums{}}
+	sv := &solver{split: services, costs: p.withKnownCosts(now, p.mergedCosts()), treeCosts: map[string]map[string]float64{}}
 	sv.streams = p.streams(sv)
 	p.declining = p.declines.ratios(now)
-	sv.limitByRetries(p.declining, p.retries)
 	capacity := p.capacity()
 	p.binding = map[string]bool{}
 	for range maxRounds {
@@ -248,7 +244,7 @@
 	out := make([]*plannedStream, 0, len(sums))
 	for k, sum := range sums {
 		out = append(out, &plannedStream{
-			route: k.route, class: k.class, rate: sum.Rate, ratio: 1, cost: sv.treeCost(k.route),
+			route: k.route, class: k.class, rate: sum.Rate, ratio: 1, cost: sv.treeCost(k.route, 0),
 			minRatio: max(minCallRatio, minCallerRatio*min(1, sum.FirstTryRate/sum.Rate)),
 		})
 	}
--- a/core/plan/solver.go
+++ b/core/plan/solver.go
@@ -14,10 +14,8 @@
 	class    uint8
 	rate     float64
 	ratio    float64
-	minRatio float64 // ratio below which reduceByClass does not reduce the stream
-	// declining reports that the ratio is restricted because a service declines calls.
-	declining bool
-	cost      map[string]float64 // slot-seconds of one call by service
+	minRatio float64            // ratio below which reduceByClass does not reduce the stream
+	cost     map[string]float64 // slot-seconds of one call by service
 }
 
 // load returns the number of slots of a service that the admitted calls occupy.
@@ -27,46 +25,30 @@
 type solver struct {
 	split     TrafficSplit
 	costs     map[string]RouteCost
-	treeCosts treeSums
-	treeCalls treeSums
-	streams   []*plannedStream // lowest class first
+	treeCosts map[string]map[string]float64 // by route, then by service
+	streams   []*plannedStream              // lowest class first
 }
 
-// treeSums holds sums over the call trees of routes, by route, then by service.
-type treeSums map[string]map[string]float64
-
 // treeCost returns the slot-seconds that a call on a route takes at each service,
 // including its child calls.
-func (sv *solver) treeCost(route string) map[string]float64 {
-	return sv.treeSum(sv.treeCosts, route, 0, func(own RouteCost) float64 { return own.HoldTime.Seconds() })
-}
-
-// callsOf returns the number of calls that a tree on a route makes at each service, the root
-// call included.
-func (sv *solver) callsOf(route string) map[string]float64 {
-	return sv.treeSum(sv.treeCalls, route, 0, func(RouteCost) float64 { return 1 })
-}
-
-// treeSum returns the sum of a quantity over a call on a route and its child calls, for each
-// service.
-func (sv *solver) treeSum(known treeSums, route string, depth int, quantity func(RouteCost) float64) map[string]float64 {
-	if sum, ok := known[route]; ok {
-		return sum
+func (sv *solver) treeCost(route string, depth int) map[string]float64 {
+	if known, ok := sv.treeCosts[route]; ok {
+		return known
 	}
 	out := map[string]float64{}
 	if depth < maxDepth {
-		known[route] = out // cuts cycles: a call back to this route adds what is summed so far
+		sv.treeCosts[route] = out // cuts cycles: a call back to this route adds the cost summed so far
 	}
 	own, ok := sv.costs[route]
 	if !ok {
 		return out
 	}
 	for _, s := range sv.split(route) {
-		out[s.Service] += s.Fraction * quantity(own)
+		out[s.Service] += s.Fraction * own.HoldTime.Seconds()
 	}
 	for _, c := range own.Calls {
-		for service, sum := range sv.treeSum(known, c.Route, depth+1, quantity) {
-			out[service] += c.PerRun * sum
+		for service, cost := range sv.treeCost(c.Route, depth+1) {
+			out[service] += c.PerRun * cost
 		}
 	}
 	return out
@@ -137,7 +119,7 @@
 	var out []AdmitRatio
 	for _, s := range sv.streams {
 		if s.ratio < 0.999 {
-			out = append(out, AdmitRatio{Route: s.route, Class: s.class, Ratio: s.ratio, Declining: s.declining})
+			out = append(out, AdmitRatio{Route: s.route, Class: s.class, Ratio: s.ratio})
 		}
 	}
 	return out
--- a/core/planning.go
+++ b/core/planning.go
@@ -130,7 +130,7 @@
 		s.planner(now).SetReport(now, name, r)
 		s.updatePlan(now)
 		s.applyPlan(now, s.planner(now).Plan())
-		s.applyDeclining(s.planner(now).Plan(), s.planner(now).Declining())
+		s.applyDeclining(s.planner(now).Declining())
 		return
 	}
 	if p.unansweredSince.IsZero() {
@@ -144,7 +144,6 @@
 	if s.planning.planner == nil {
 		s.planning.planner = plan.NewPlanner()
 		s.planning.planner.RestoreCosts(now, s.planning.storedCosts)
-		s.planning.planner.SetRetryLimit(plan.RetryLimit{Attempts: maxAttempts, Sustained: s.retryLimiter.Sustained})
 	}
 	return s.planning.planner
 }
--- a/core/retry/limiter.go
+++ b/core/retry/limiter.go
@@ -73,12 +73,6 @@
 	return s
 }
 
-// Sustained returns the extra arrivals per second that all nodes together allow at a service that
-// is sent the given number of calls per second.
-func (l *ServiceLimiter) Sustained(callsPerSecond float64) float64 {
-	return ratioFraction*l.limit.Ratio*callsPerSecond + refillFraction*l.limit.Slack/l.limit.Window.Seconds()
-}
-
 // RecordCall counts a call for a service and adds its tokens. Nested calls count like those
 // of external callers.
 func (l *ServiceLimiter) RecordCall(now time.Time, service string) {
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -12,7 +12,7 @@
 
 const (
 	actionCount = int(core.ActionSettle) + 1
-	reasonCount = int(core.ReasonDeclining) + 1
+	reasonCount = int(core.ReasonTargetCold) + 1
 	causeCount  = int(core.CauseTimeout) + 1
 	originCount = int(core.FromCallerOrTarget) + 1
 )
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -25,7 +25,6 @@
 	core.ReasonQuotaUnavailable:     http.StatusServiceUnavailable,
 	core.ReasonShed:                 http.StatusServiceUnavailable,
 	core.ReasonOverloaded:           http.StatusServiceUnavailable,
-	core.ReasonDeclining:            http.StatusServiceUnavailable,
 	core.ReasonNoEndpoint:           http.StatusServiceUnavailable,
 	core.ReasonDeadlineExceeded:     http.StatusGatewayTimeout,
 	core.ReasonDraining:             http.StatusServiceUnavailable,
