internal/relay: a test of early responses ends when its request is lost

TestBodyHasOneReader hung once beside load: it waited without a limit for a request that never reached the target. It now fails after 30 s and tells the status.

--- a/internal/relay/early_test.go
+++ b/internal/relay/early_test.go
@@ -128,6 +128,9 @@
 	}
 }
 
+// targetTimeout ends a test whose request has not reached the target.
+const targetTimeout = 30 * time.Second
+
 func testEarlyResponse(t *testing.T, u upload, readFirst, responseSize int, chunked bool) {
 	if len(u.body) <= 1<<20 {
 		u.pace = 2 * time.Millisecond
@@ -162,8 +165,12 @@
 	if err != nil || n != int64(responseSize) || res.StatusCode != http.StatusOK {
 		t.Errorf("got status %d and %d bytes, error %v; want all %d bytes", res.StatusCode, n, err, responseSize)
 	}
-	atTarget := <-got
-	atTarget.check(t, u.body)
+	select {
+	case atTarget := <-got:
+		atTarget.check(t, u.body)
+	case <-time.After(targetTimeout):
+		t.Fatalf("the target has not read the request %s after its response, status %d", targetTimeout, res.StatusCode)
+	}
 	if readFirst > len(u.body) && res.Close {
 		t.Error("the connection is closed after a request that the target has read completely")
 	}
