--- a/io/store/evacuations_test.go
+++ b/io/store/evacuations_test.go
@@ -13,7 +13,7 @@
 	"celeryshelf/core/manifest"
 )
 
-// opDecoder decodes the keys "op/evacuate/DOMAIN" and any manifest.
+// opDecoder decodes the keys "ops/evacuate/DOMAIN" and any manifest.
 type opDecoder struct{}
 
 func (opDecoder) DecodeManifest([]byte) (manifest.Versioned, error) {
@@ -21,7 +21,7 @@
 }
 
 func (opDecoder) DecodeEvacuation(key string) (string, error) {
-	domain, ok := strings.CutPrefix(key, "op/evacuate/")
+	domain, ok := strings.CutPrefix(key, "ops/evacuate/")
 	switch {
 	case !ok:
 		return "", nil
@@ -70,9 +70,9 @@
 }
 
 func newOpSession(c *opClient, enabled bool) (*Session, *eventRecorder, *warningCounter) {
-	l := Layout{Prefix: "shelf/", ManifestKey: "op/config", Decoder: opDecoder{}}
+	l := Layout{Prefix: "shelf/", ManifestKey: "ops/manifest", Decoder: opDecoder{}}
 	if enabled {
-		l.Evacuations, l.OperatorPrefix = opDecoder{}, "op/"
+		l.Evacuations, l.OperatorPrefix = opDecoder{}, "ops/"
 	}
 	warnings, seen := &warningCounter{}, &eventRecorder{}
 	s := NewSession(Config{Client: c, Layout: l, NodeName: "n0", LeaseTTL: time.Second, Logger: warnings, Clock: systemClock{}})
@@ -112,12 +112,12 @@
 // and the node misses, and against a deletion that no watch reports because the store has lost
 // that part of its history.
 func TestEvacuationsFollowTheStore(t *testing.T) {
-	config := KeyValue{Key: "op/config", Value: []byte("{}"), Revision: 2}
-	c := &opClient{revision: 5, pairs: []KeyValue{config, {Key: "op/evacuate/a", Value: []byte("{}"), Revision: 4}, {Key: "op/evacuate/", Revision: 5}}}
+	config := KeyValue{Key: "ops/manifest", Value: []byte("{}"), Revision: 2}
+	c := &opClient{revision: 5, pairs: []KeyValue{config, {Key: "ops/evacuate/a", Value: []byte("{}"), Revision: 4}, {Key: "ops/evacuate/", Revision: 5}}}
 	s, seen, warnings := newOpSession(c, true)
 	c.changes = []Change{
-		{Key: "op/evacuate/b", Value: []byte("odd")}, {Key: "op/other"}, {Key: "op/evacuate/a", Deleted: true}, {Key: "op/evacuate/a", Value: []byte("{}")},
-		{Key: "op/evacuate/"},
+		{Key: "ops/evacuate/b", Value: []byte("odd")}, {Key: "ops/other"}, {Key: "ops/evacuate/a", Deleted: true}, {Key: "ops/evacuate/a", Value: []byte("{}")},
+		{Key: "ops/evacuate/"},
 	}
 	readAndWatch(t, s)
 	c.pairs, c.revision, c.changes = []KeyValue{config}, 20, nil
@@ -149,10 +149,10 @@
 		enabled bool
 		want    []string
 	}{
-		{false, []string{"range op/config", "watch op/config", "get op/config"}},
-		{true, []string{"range op/", "watch op/", "range op/"}},
+		{false, []string{"range ops/manifest", "watch ops/manifest", "get ops/manifest"}},
+		{true, []string{"range ops/", "watch ops/", "range ops/"}},
 	} {
-		c := &opClient{revision: 5, pairs: []KeyValue{{Key: "op/config", Value: []byte("{}"), Revision: 2}, {Key: "op/evacuate/a", Revision: 4}}}
+		c := &opClient{revision: 5, pairs: []KeyValue{{Key: "ops/manifest", Value: []byte("{}"), Revision: 2}, {Key: "ops/evacuate/a", Revision: 4}}}
 		s, seen, _ := newOpSession(c, tt.enabled)
 		readAndWatch(t, s)
 		if err := s.confirmManifest(t.Context()); err != nil {
