core/route: choice by expected completion time among endpoints that publish it

PickByCompletion compares, for each call, up to eight endpoints that a node normally uses, half of them in its own domain: the published time until a call of unit cost would complete, its cost as a multiple of the unit at the endpoint's service time, the calls sent since the number came, slow start, the risk of failure and the way to another domain. An old number fades to the usual one; after 2 s it is not used. If all of the usual endpoints have work waiting, one more is drawn from the others. Without numbers Pick chooses as before.

Nothing uses it yet. go test ./core/route: ok.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -51,6 +51,8 @@
 	failures       int           // failed connects in a row
 	pausedUntil    time.Time     // no new calls before
 	slowStartAt    time.Time     // when slow start began
+
+	published
 }
 
 // ready reports whether the endpoint can be given a call now.
@@ -64,11 +66,7 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	c := e.latencyFactor(now) * float64(latency)
-	if age := now.Sub(e.slowStartAt); age < slowStartDuration {
-		c /= max(minSlowStartShare, float64(age)/float64(slowStartDuration))
-	}
-	return c
+	return e.latencyFactor(now) * float64(latency) / e.slowStartShare(now)
 }
 
 // latencyFactor estimates the factor by which the endpoint's load raises the latency of one
@@ -94,6 +92,7 @@
 func (e *Endpoint) CallStarted() {
 	e.inFlight++
 	e.sentSinceLoad++
+	e.sent++
 }
 
 // CallAnswered records the end of a call that was answered after the given latency.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -22,6 +22,7 @@
 type serviceEndpoints struct {
 	all    []*Endpoint
 	subset []*Endpoint // the endpoints with the highest rendezvous hash for this node
+	choice []*Endpoint // see updateChoice
 }
 
 // NewTable returns an empty table for the node with the given name and domain.
@@ -43,6 +44,7 @@
 		if existing.Name != e.Name {
 			continue
 		}
+		moved := existing.Domain != e.Domain
 		existing.NodeAddr, existing.Domain = e.NodeAddr, e.Domain
 		existing.Draining, existing.Unreachable = e.Draining, e.Unreachable
 		existing.Slots = e.Slots
@@ -50,6 +52,10 @@
 			existing.TargetStartMilli = e.TargetStartMilli
 			existing.latency, existing.failures = 0, 0
 			existing.slowStartAt, existing.pausedUntil = now, time.Time{}
+			existing.published = published{}
+		}
+		if moved {
+			t.updateSubset(s)
 		}
 		return
 	}
@@ -78,6 +84,7 @@
 	slices.SortFunc(s.subset, func(a, b *Endpoint) int {
 		return compareDescending(rendezvousHash(t.self, a.Name, 0), rendezvousHash(t.self, b.Name, 0))
 	})
+	t.updateChoice(s)
 	if len(s.subset) > subsetSize {
 		s.subset = s.subset[:subsetSize]
 	}
