core, platform: targets that report their load get calls by cost and remaining work

platform/ reads Server-Load into a checked report that reaches the reducer with the event that ends an attempt at the local target. While a target reports, its node learns the cost of calls, tracks the work of those that run and wait there, and states with responses and refusals (Celery-Work, beside Celery-Load) the time until a call of unit cost would complete, the service time in it, and what the call has cost. Older nodes ignore the header. Nodes that receive it choose by completion time. The numbers are read when a response's headers are written, not when its call was started. A number or report counts from the arrival of the headers that carried it. Counts of the target's report are not used: its node is the only way to it and counts itself.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -46,7 +46,7 @@
 		if exclude != "" {
 			excluded = append(excluded, exclude)
 		}
-		return s.routes.Pick(now, c.service, hashUint64(uint64(c.id)), excluded)
+		return s.pickEndpoint(now, c, excluded)
 	}
 	for _, e := range s.routes.RendezvousOrder(c.service, c.idempotencyKey.Hash) {
 		if !e.Draining && !e.Unreachable && e.Name != exclude && !slices.Contains(c.excluded, e.Name) {
@@ -87,12 +87,14 @@
 		ID: uint64(c.id), Workspace: c.workspace, Weight: c.weight,
 		Rank: c.rank, Deadline: c.deadline, ExpectedTime: s.expectedDuration(c.route),
 	}
+	s.estimateCost(now, c)
 	decision, evicted := s.gate.Offer(now, offered)
 	switch decision {
 	case admit.Admitted:
 		s.startRun(now, c)
 	case admit.Queued:
 		c.phase = phaseQueued
+		s.trackWaiting(now, c)
 	case admit.Refused:
 		reason := ReasonOverloaded
 		if s.gate.MissesDeadline(now, offered) {
@@ -118,6 +120,7 @@
 
 func (s *State) startRun(now time.Time, c *call) {
 	c.phase, c.attemptStart = phaseRunning, now
+	s.trackRunning(now, c)
 	s.limitToDrain(c)
 	c.endpoint.SetLoad(now, s.gate.Stats().LoadRatio())
 	if s.plannedAdmission {
@@ -135,6 +138,7 @@
 // handleGateRejection handles a call that the local gate did not admit.
 func (s *State) handleGateRejection(now time.Time, c *call, reason Reason) {
 	c.endpoint.CallRejected(now)
+	s.untrack(now, c)
 	if c.idempotencyKey.Hash != 0 {
 		s.dedup.Release(c.idempotencyKey)
 	}
@@ -232,7 +236,9 @@
 	if e.Cause == CauseTargetOverloaded {
 		c.excluded = append(c.excluded, c.endpoint.Name)
 	}
-	c.recordEndpointLoad(now, e.Load)
+	s.recordEndpointLoad(now, c, e.Load)
+	s.recordResult(now, c, e.Cause != CauseRejected)
+	s.recordTargetReport(now, e.Report)
 	local := c.phase == phaseRunning
 	if local {
 		s.gate.Complete(s.completion(now, c, e.Cause == CauseTargetOverloaded, false))
@@ -250,9 +256,10 @@
 }
 
 // recordEndpointLoad stores the load reported at the end of a forwarded attempt.
-func (c *call) recordEndpointLoad(now time.Time, l TargetLoad) {
+func (s *State) recordEndpointLoad(now time.Time, c *call, l TargetLoad) {
 	if l.Known && c.phase == phaseForwarded {
 		c.endpoint.SetLoad(now, l.Utilization)
+		s.recordWork(now, c, l.Work)
 	}
 }
 
@@ -287,6 +294,7 @@
 
 func (s *State) completion(now time.Time, c *call, shed, succeeded bool) admit.Completion {
 	total := now.Sub(c.attemptStart)
+	s.trackEnd(now, c, total, succeeded)
 	if s.plannedAdmission {
 		s.planning.costEstimator.ObserveEnd(now, c.route, total, succeeded, c.childCalls)
 	}
@@ -312,6 +320,8 @@
 		return
 	}
 	c.level = max(c.level, e.Level)
+	s.recordTargetReport(now, e.Report)
+	s.recordResult(now, c, e.Failed)
 	switch c.phase {
 	case phaseRunning:
 		s.gate.Complete(s.completion(now, c, e.Overloaded, e.Complete && !e.Failed))
@@ -322,7 +332,7 @@
 		}
 	case phaseForwarded:
 		c.endpoint.CallAnswered(now.Sub(c.attemptStart))
-		c.recordEndpointLoad(now, e.Load)
+		s.recordEndpointLoad(now, c, e.Load)
 		c.budget.Return(c.lentRetries, e.UnspentRetries)
 	}
 	s.observeAdmissionLevel(now, c)
@@ -350,6 +360,7 @@
 		c.endpoint.CallCanceled()
 	case phaseQueued:
 		s.gate.Remove(uint64(c.id))
+		s.untrack(now, c)
 		s.dedup.Release(c.idempotencyKey)
 		c.endpoint.CallCanceled()
 	case phaseRunning:
--- a/core/call.go
+++ b/core/call.go
@@ -46,7 +46,9 @@
 	borrowedRetries int    // retries taken from the parent's budget
 	parent          CallID // 0 if none
 	requestHash     uint64
-	replayable      bool // the request can be sent again
+	method          string
+	bodyBytes       int64 // negative if unknown
+	replayable      bool  // the request can be sent again
 
 	endpoint          *route.Endpoint
 	attempts          int      // attempts made, including those refused by other nodes
@@ -56,7 +58,9 @@
 	lentRetries       int      // retry budget passed to the node it was forwarded to
 	attemptStart      time.Time
 	executed          Executed
-	level             admit.Level // highest admission level reported downstream
+	cost              time.Duration // estimated for the local target
+	startSlowness     float64       // of the local target, 0 if unknown
+	level             admit.Level   // highest admission level reported downstream
 
 	childCalls        []plan.ChildCalls // calls that the target made on its behalf
 	openChildren      int               // child calls that have not ended
@@ -127,7 +131,7 @@
 	stats := s.gate.Stats()
 	v.Inputs = VerdictInputs{
 		Workspace: c.workspace, ManifestVersion: s.manifestVersion(), ManifestAge: now.Sub(s.manifestConfirmedAt), Remaining: c.deadline.Sub(now),
-		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(),
+		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(), Work: s.effects.Work,
 	}
 	s.effects.Verdicts = append(s.effects.Verdicts, v)
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
+	"celeryshelf/core/route"
 )
 
 // Effects lists what the caller of Step has to carry out. It is valid until the next
@@ -23,6 +24,9 @@
 	// they told is then not forgotten in a restart.
 	Acknowledgements []AckID
 	NewManifest      *manifest.Versioned // a manifest that has just become active
+	// Work is what responses to other nodes state of the work at the local target. Unlike the
+	// other effects it is kept from step to step.
+	Work route.Work
 }
 
 func (e *Effects) reset() {
@@ -116,6 +120,7 @@
 	Running         int     // calls running at the local target
 	Queued          int     // calls queued for the local target
 	Load            float64 // running and queued calls divided by slots
+	Work            route.Work
 }
 
 // StoreRequest is an operation on the store.
--- a/core/event.go
+++ b/core/event.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/route"
 )
 
 // CallID identifies a call at one node. It is the span ID of the call's hop.
@@ -58,6 +59,8 @@
 	Timeout         time.Duration   // timeout set by the sender, 0 if none
 	Replayable      bool            // the request can be sent again
 	RequestID       string          // request ID set by the sender
+	Method          string          // of the request
+	BodyBytes       int64           // size of the request's body, negative if unknown
 	ParentRequestID string          // FromCallerOrTarget: request ID of the call that made this one, if given
 	Context         CallContext     // FromNode: context received from the sending node
 }
@@ -79,6 +82,24 @@
 type TargetLoad struct {
 	Known       bool    // the node reported a load
 	Utilization float64 // running and queued calls divided by slots
+	Work        Work    // zero if the node published none
+}
+
+// Work is what a node publishes of the work at its target.
+type Work struct {
+	route.Work
+	Took time.Duration // service time of the call that the figures came with, 0 if it was refused
+	At   time.Time     // when the response's headers arrived; its body may take long
+}
+
+// TargetReport is the load that the local target reports with a response.
+type TargetReport struct {
+	Known    bool
+	Running  int       // calls that it runs
+	Waiting  int       // calls that wait in it
+	Slots    int       // calls that it can run concurrently
+	At       time.Time // when the response's headers arrived
+	Slowness float64   // how long work takes at present, as a multiple of the usual, 1 if not reported
 }
 
 // AttemptFailed reports an attempt that failed before any part of its response was
@@ -87,21 +108,23 @@
 	Call           CallID
 	Cause          Cause
 	Executed       Executed
-	Reason         Reason      // CauseRejected: the reason given by the other node
-	Level          admit.Level // admission level reported downstream
-	UnspentRetries int         // unused part of the forwarded retry budget
-	Load           TargetLoad  // of the endpoint
+	Reason         Reason       // CauseRejected: the reason given by the other node
+	Level          admit.Level  // admission level reported downstream
+	UnspentRetries int          // unused part of the forwarded retry budget
+	Load           TargetLoad   // of the endpoint
+	Report         TargetReport // of the local target
 }
 
 // CallFinished reports that a call has ended and its response has been passed on.
 type CallFinished struct {
 	Call           CallID
-	Complete       bool        // the response was complete
-	Failed         bool        // the response status is a failure
-	Overloaded     bool        // the target refused the call as overloaded
-	Level          admit.Level // admission level reported downstream
-	UnspentRetries int         // unused part of the forwarded retry budget
-	Load           TargetLoad  // of the endpoint
+	Complete       bool         // the response was complete
+	Failed         bool         // the response status is a failure
+	Overloaded     bool         // the target refused the call as overloaded
+	Level          admit.Level  // admission level reported downstream
+	UnspentRetries int          // unused part of the forwarded retry budget
+	Load           TargetLoad   // of the endpoint
+	Report         TargetReport // of the local target
 }
 
 // CallCanceled reports that the sender has abandoned the call.
--- a/core/membership.go
+++ b/core/membership.go
@@ -65,6 +65,7 @@
 		s.handleGateRejection(now, s.calls[CallID(expired.ID)], ReasonDeadlineExceeded)
 	}
 	s.admitQueued(now)
+	s.publishWork(now)
 	if s.self.Draining && !s.target.closedByDrain && !now.Before(s.targetOpenUntil) {
 		s.closeTarget(now)
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -78,6 +78,7 @@
 	target              targetState
 
 	planning     planning
+	placement    placement
 	watch        watch
 	roles        roles
 	distribution distribution
@@ -110,6 +111,7 @@
 		gate:               admit.NewGate(),
 		routes:             route.NewTable(settings.Self.Name, settings.Self.Domain),
 		levels:             route.NewLevels(),
+		placement:          newPlacement(),
 		retryBudgets:       retry.NewBudgetPool(),
 		dedup:              retry.NewDedupTable(),
 		peerClocks:         map[string]peerClock{},
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"celeryshelf/core"
 	"celeryshelf/core/manifest"
+	"celeryshelf/core/route"
 )
 
 const queueSize = 8192
@@ -62,6 +64,7 @@
 	done  chan struct{}
 
 	lastAck atomic.Uint64
+	work    atomic.Uint64 // effects' Work, as two numbers of 32 bits in units of workUnit
 }
 
 // New returns a loop; Run starts it.
@@ -177,7 +180,28 @@
 	}
 }
 
+// workUnit is the resolution of the published work: 32 bits of it exceed an hour.
+const workUnit = time.Microsecond
+
+// Work returns what responses to other nodes state of the work at the local target, zero if
+// nothing.
+func (l *Loop) Work() route.Work {
+	packed := l.work.Load()
+	return route.Work{
+		UnitTime: time.Duration(packed>>32) * workUnit, ServiceTime: time.Duration(uint32(packed)) * workUnit,
+	}
+}
+
+// publish makes the work available to the goroutines that write responses.
+func (l *Loop) publish(w route.Work) {
+	pack := func(d time.Duration) uint64 { return uint64(max(0, min(math.MaxUint32, d/workUnit))) }
+	if packed := pack(w.UnitTime)<<32 | pack(w.ServiceTime); packed != l.work.Load() {
+		l.work.Store(packed)
+	}
+}
+
 func (l *Loop) apply(e *core.Effects) {
+	l.publish(e.Work)
 	for i := range e.Verdicts {
 		l.deliver(&e.Verdicts[i])
 	}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -33,6 +33,8 @@
 	// ParseTargetRefusal reports whether a response states that the target refused the
 	// request, and what is then known about whether it was executed.
 	ParseTargetRefusal(res *http.Response) (refused bool, executed core.Executed)
+	// ParseTargetReport reads the load that the target reports with a response.
+	ParseTargetReport(res *http.Response) core.TargetReport
 }
 
 // Refuser writes the response for a refused call.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"celeryshelf/core"
 	"celeryshelf/internal/control"
@@ -35,6 +36,9 @@
 	response      *http.Response // of the last attempt, not yet written; a failed one may still be delivered
 	cancelAttempt context.CancelFunc
 	verdict       core.Verdict
+	attemptStart  time.Time
+	headAt        time.Time         // when the headers of its response arrived
+	report        core.TargetReport // of the local target, with that response
 }
 
 // executeVerdicts executes verdicts until the call has ended.
@@ -119,23 +123,29 @@
 // attempt makes one attempt and reports whether the control loop will send a further
 // verdict.
 func (x *exchange) attempt(v core.Verdict) bool {
-	ctx, cancel := context.WithTimeout(x.ctx, v.AttemptEnd.Sub(x.Clock.Now()))
+	x.attemptStart = x.Clock.Now()
+	ctx, cancel := context.WithTimeout(x.ctx, v.AttemptEnd.Sub(x.attemptStart))
 	x.cancelAttempt = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // discardResponse or writeResponse closes it
 	if err != nil {
 		x.reportFailure(ctx, sent, err)
 		return true
 	}
-	x.response = res
+	x.response, x.headAt = res, x.Clock.Now()
+	x.report = core.TargetReport{}
+	if v.Action == core.ActionRun {
+		x.report = x.Dialect.ParseTargetReport(res)
+		x.report.At = x.headAt
+	}
 	if v.Action == core.ActionForward {
 		if why, ran, refused := node.ParseRefusal(res.Header); refused {
 			o := node.ExtractOutcome(res.Header)
-			x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseRejected, Executed: ran, Reason: why, Level: o.Level, UnspentRetries: o.UnspentRetries, Load: node.GetTargetLoad(res.Header)})
+			x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseRejected, Executed: ran, Reason: why, Level: o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header)})
 			return true
 		}
 	}
 	if declined, ran := x.Dialect.ParseTargetRefusal(res); declined && x.reportsRefusal(ran) {
-		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran})
+		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran, Report: x.report})
 		return true
 	}
 	return x.deliverResponse(ctx)
@@ -267,6 +277,7 @@
 	x.suppressImplicitHeaders(x.w.Header())
 	if x.origin == core.FromNode {
 		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs.Load)
+		node.SetWork(x.w.Header(), core.Work{Work: x.Loop.Work(), Took: x.headAt.Sub(x.attemptStart)})
 	}
 	for name := range res.Trailer {
 		x.w.Header().Add("Trailer", name)
@@ -287,7 +298,7 @@
 		Complete:   err == nil,
 		Failed:     res.StatusCode >= http.StatusInternalServerError,
 		Overloaded: res.StatusCode == http.StatusServiceUnavailable,
-		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: node.GetTargetLoad(res.Header),
+		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header), Report: x.report,
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -295,6 +306,13 @@
 	x.sendOutcome()
 }
 
+// targetLoad returns the load that the last response carries.
+func (x *exchange) targetLoad(h http.Header) core.TargetLoad {
+	load := node.GetTargetLoad(h)
+	load.Work.At = x.headAt
+	return load
+}
+
 // implicitHeaders are the headers that net/http adds to a response that lacks them.
 var implicitHeaders = []string{"Content-Type", "Date"}
 
--- a/io/caller/dialect.go
+++ b/io/caller/dialect.go
@@ -72,3 +72,6 @@
 	}
 	return d
 }
+
+// ParseTargetReport returns no report: targets of the product's own protocol send none.
+func (Dialect) ParseTargetReport(*http.Response) core.TargetReport { return core.TargetReport{} }
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -21,6 +21,7 @@
 	headerAdmissionLevel = "Celery-Level"
 	headerUnspentRetries = "Celery-Unspent"
 	headerLoad           = "Celery-Load" // running and queued calls as a percentage of the target's slots
+	headerWork           = "Celery-Work" // unit time, service time and the call's own, see core.Work, in microseconds
 
 	// HeaderReason and HeaderExecuted state why a call was refused and whether it may
 	// have been executed.
@@ -165,7 +166,7 @@
 // malformed, the load is unknown.
 func GetTargetLoad(h http.Header) core.TargetLoad {
 	percent, err := strconv.ParseUint(h.Get(headerLoad), 10, 16)
-	return core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100}
+	return core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100, Work: getWork(h)}
 }
 
 // ParseRefusal decodes a refusal by the node itself; ok is false for a response of its
--- a/io/node/refusal.go
+++ b/io/node/refusal.go
@@ -18,6 +18,7 @@
 	h.Set(HeaderExecuted, v.Executed.String())
 	SetOutcome(h, "", Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
 	SetTargetLoad(h, v.Inputs.Load)
+	SetWork(h, core.Work{Work: v.Inputs.Work})
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
