core/cost, core/backlog: splits and distribution are taken out, as they bring nothing

The remaining work of a running call is its estimate, and what it has spent once that is more, so that it grows. The tests of what was taken out go with it; that remaining work grows is now tested in core/backlog.

--- a/core/arrival.go
+++ b/core/arrival.go
@@ -14,7 +14,6 @@
 func (s *State) handleCallArrived(now time.Time, e *CallArrived) {
 	c := s.newCall(e.Call)
 	c.origin, c.replayable, c.requestHash, c.requestID = e.Origin, e.Replayable, e.RequestHash, e.RequestID
-	c.method, c.bodyBytes = e.Method, e.BodyBytes
 	switch e.Origin {
 	case FromCaller:
 		s.handleCallerCall(now, c, e)
--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -2,18 +2,12 @@
 
 import "time"
 
-// Estimator estimates the remaining cost of a call on a route, of which spent is done.
-type Estimator interface {
-	Remaining(route string, estimate, spent time.Duration) time.Duration
-}
-
 // minRemaining bounds the rate at which a single call is assumed to free its slot.
 const minRemaining = 100 * time.Microsecond
 
 // entry is a call at the target.
 type entry struct {
 	id        uint64
-	route     string
 	cost      time.Duration // estimated, at slowness 1
 	startedAt time.Time     // zero while it waits
 }
@@ -26,16 +20,16 @@
 }
 
 // Wait adds a call that waits for a slot.
-func (b *Backlog) Wait(id uint64, route string, cost time.Duration) {
+func (b *Backlog) Wait(id uint64, cost time.Duration) {
 	b.Remove(id)
-	b.entries = append(b.entries, entry{id: id, route: route, cost: cost})
+	b.entries = append(b.entries, entry{id: id, cost: cost})
 	b.waiting += cost
 }
 
 // Start adds a call that runs, or marks one that waited as running.
-func (b *Backlog) Start(now time.Time, id uint64, route string, cost time.Duration) {
+func (b *Backlog) Start(now time.Time, id uint64, cost time.Duration) {
 	b.Remove(id)
-	b.entries = append(b.entries, entry{id: id, route: route, cost: cost, startedAt: now})
+	b.entries = append(b.entries, entry{id: id, cost: cost, startedAt: now})
 	b.running++
 }
 
@@ -65,7 +59,7 @@
 
 // TimeToComplete returns how long a further call of the given cost would take, its wait for a
 // slot included, if work takes slowness times as long as its cost.
-func (b *Backlog) TimeToComplete(now time.Time, estimator Estimator, slots int, unit time.Duration, slowness float64) time.Duration {
+func (b *Backlog) TimeToComplete(now time.Time, slots int, unit time.Duration, slowness float64) time.Duration {
 	slots = max(1, slots)
 	rate := 0.0
 	for i := range b.entries {
@@ -74,7 +68,7 @@
 			continue
 		}
 		spent := time.Duration(float64(now.Sub(e.startedAt)) / slowness)
-		left := max(minRemaining, estimator.Remaining(e.route, e.cost, spent))
+		left := max(minRemaining, remaining(e.cost, spent))
 		rate += 1 / left.Seconds()
 	}
 	wait := b.waiting.Seconds() / float64(slots)
@@ -83,3 +77,8 @@
 	}
 	return time.Duration((wait + unit.Seconds()) * slowness * float64(time.Second))
 }
+
+// remaining estimates the remaining cost of a call. Costs spread widely, so that what has been
+// spent says little about the rest until it exceeds the estimate. Then the rest grows: the
+// call is one of the tail.
+func remaining(estimate, spent time.Duration) time.Duration { return max(estimate, spent) }
--- a/core/backlog/backlog_test.go
+++ b/core/backlog/backlog_test.go
@@ -7,39 +7,34 @@
 	"pgregory.net/rapid"
 )
 
-// linear is an estimator of calls that take exactly their cost.
-type linear struct{}
-
-func (linear) Remaining(_ string, estimate, spent time.Duration) time.Duration {
-	return max(0, estimate-spent)
-}
-
 const unit = 40 * time.Millisecond
 
-// TestTimeToComplete guards against a number that leaves out running or waiting work, or the
-// slowness of the target.
+// TestTimeToComplete guards against a number that leaves out running or waiting work or the
+// slowness of the target, and against calls beyond their estimate that seem about to end.
 func TestTimeToComplete(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var b Backlog
 	check := func(what string, slowness float64, want time.Duration) {
 		t.Helper()
-		got := b.TimeToComplete(now, linear{}, 2, unit, slowness)
+		got := b.TimeToComplete(now, 2, unit, slowness)
 		if d := got - want; d < -time.Microsecond || d > time.Microsecond {
 			t.Errorf("%s: %v, want %v", what, got, want)
 		}
 	}
 	check("idle", 1, unit)
 	check("idle and slow", 3, 3*unit)
-	b.Start(now, 1, "r", unit)
+	b.Start(now, 1, unit)
 	check("one slot free", 1, unit)
-	b.Start(now, 2, "r", unit)
+	b.Start(now, 2, unit)
 	check("both busy", 1, unit+unit/2)
-	b.Wait(3, "r", 100*time.Millisecond)
+	b.Wait(3, 100*time.Millisecond)
 	check("one waiting", 1, unit+unit/2+50*time.Millisecond)
 	now = now.Add(unit / 2)
-	check("half done", 1, unit+unit/4+50*time.Millisecond)
+	check("half done", 1, unit+unit/2+50*time.Millisecond)
+	now = now.Add(3*unit - unit/2)
+	check("three times the estimate", 1, unit+3*unit/2+50*time.Millisecond)
 	b.Remove(1)
-	b.Start(now, 3, "r", 100*time.Millisecond)
+	b.Start(now, 3, 100*time.Millisecond)
 	b.Remove(2)
 	b.Remove(3)
 	check("all done", 1, unit)
@@ -56,13 +51,13 @@
 			cost := time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
-				b.Wait(id, "r", cost)
+				b.Wait(id, cost)
 			case 1:
-				b.Start(now, id, "r", cost)
+				b.Start(now, id, cost)
 			default:
 				b.Remove(id)
 			}
-			if got := b.TimeToComplete(now, linear{}, 4, unit, 1); got < unit {
+			if got := b.TimeToComplete(now, 4, unit, 1); got < unit {
 				t.Fatalf("%v until a call of %v completes", got, unit)
 			}
 		}
--- a/core/call.go
+++ b/core/call.go
@@ -46,9 +46,7 @@
 	borrowedRetries int    // retries taken from the parent's budget
 	parent          CallID // 0 if none
 	requestHash     uint64
-	method          string
-	bodyBytes       int64 // negative if unknown
-	replayable      bool  // the request can be sent again
+	replayable      bool // the request can be sent again
 
 	endpoint          *route.Endpoint
 	attempts          int      // attempts made, including those refused by other nodes
--- a/core/event.go
+++ b/core/event.go
@@ -59,8 +59,6 @@
 	Timeout         time.Duration   // timeout set by the sender, 0 if none
 	Replayable      bool            // the request can be sent again
 	RequestID       string          // request ID set by the sender
-	Method          string          // of the request
-	BodyBytes       int64           // size of the request's body, negative if unknown
 	ParentRequestID string          // FromCallerOrTarget: request ID of the call that made this one, if given
 	Context         CallContext     // FromNode: context received from the sending node
 }
--- a/core/placement.go
+++ b/core/placement.go
@@ -36,11 +36,6 @@
 	return !p.reportedAt.IsZero() && now.Sub(p.reportedAt) <= reportLife
 }
 
-// features returns the properties of a call by which its cost is estimated.
-func (c *call) features() cost.Call {
-	return cost.Call{Route: c.route, Workspace: c.workspace, Method: c.method, BodyBytes: c.bodyBytes}
-}
-
 // pickEndpoint chooses the endpoint at which a call would complete first, if endpoints of its
 // service publish their work.
 func (s *State) pickEndpoint(now time.Time, c *call, excluded []string) *route.Endpoint {
@@ -49,7 +44,7 @@
 	if costs == nil {
 		return s.routes.Pick(now, c.service, seed, excluded)
 	}
-	ratio := float64(costs.Estimate(now, c.features())) / float64(costs.Unit())
+	ratio := float64(costs.Estimate(now, c.route)) / float64(costs.Unit())
 	return s.routes.PickByCompletion(now, c.service, seed, ratio, excluded)
 }
 
@@ -66,7 +61,7 @@
 		s.placement.sentCosts[c.service] = costs
 	}
 	if w.Took > 0 && w.ServiceTime > 0 {
-		costs.Observe(now, c.features(), w.Took, float64(w.ServiceTime)/float64(sentUnit))
+		costs.Observe(now, c.route, w.Took, float64(w.ServiceTime)/float64(sentUnit))
 	}
 }
 
@@ -101,13 +96,13 @@
 // estimateCost estimates the cost of a call at the local target.
 func (s *State) estimateCost(now time.Time, c *call) {
 	if s.placement.active(now) {
-		c.cost = s.placement.costs.Estimate(now, c.features())
+		c.cost = s.placement.costs.Estimate(now, c.route)
 	}
 }
 
 func (s *State) trackWaiting(now time.Time, c *call) {
 	if s.placement.active(now) {
-		s.placement.backlog.Wait(uint64(c.id), c.route, c.cost)
+		s.placement.backlog.Wait(uint64(c.id), c.cost)
 		s.publishWork(now)
 	}
 }
@@ -116,7 +111,7 @@
 	p := &s.placement
 	if p.active(now) {
 		c.startSlowness = p.slowness.Factor(now)
-		p.backlog.Start(now, uint64(c.id), c.route, c.cost)
+		p.backlog.Start(now, uint64(c.id), c.cost)
 		s.publishWork(now)
 	}
 }
@@ -142,7 +137,7 @@
 		p.slowness.Observe(c.cost, took)
 		slowness = (slowness + c.startSlowness) / 2
 	}
-	p.costs.Observe(now, c.features(), took, slowness)
+	p.costs.Observe(now, c.route, took, slowness)
 	s.publishWork(now)
 }
 
@@ -155,7 +150,7 @@
 	}
 	unit, slowness := p.costs.Unit(), p.slowness.Factor(now)
 	s.effects.Work = route.Work{
-		UnitTime:    p.backlog.TimeToComplete(now, p.costs, s.gate.Limit(), unit, slowness),
+		UnitTime:    p.backlog.TimeToComplete(now, s.gate.Limit(), unit, slowness),
 		ServiceTime: time.Duration(float64(unit) * slowness),
 	}
 }
--- a/core/placement_test.go
+++ b/core/placement_test.go
@@ -25,7 +25,7 @@
 // work published at its end.
 func runLocal(t *testing.T, s *State, now time.Time, id CallID, r TargetReport) route.Work {
 	t.Helper()
-	e := s.Step(now, &CallArrived{Call: id, Origin: FromNode, Method: "GET", Context: CallContext{
+	e := s.Step(now, &CallArrived{Call: id, Origin: FromNode, Context: CallContext{
 		Endpoint: s.self.Name, Route: "map", Timeout: time.Second,
 	}})
 	if len(e.Verdicts) != 1 || e.Verdicts[0].Action != ActionRun {
@@ -135,7 +135,7 @@
 		now = now.Add(100 * time.Millisecond)
 		runLocal(t, s, now, CallID(i+1), TargetReport{Known: true, Slots: 8, Slowness: 2})
 	}
-	for i, jumped := range []time.Time{now.Add(step), now.Add(step - step)} {
+	for i, jumped := range []time.Time{now.Add(step), now} {
 		if w := s.Step(jumped, &Tick{}).Work; w.UnitTime < 0 || w.UnitTime > time.Minute {
 			t.Errorf("published %+v after step %d", w, i)
 		}
--- a/core/route/completion_test.go
+++ b/core/route/completion_test.go
@@ -10,8 +10,8 @@
 
 // newCompletionTable returns a table of a node in domain d0 with n endpoints in three domains
 // that all publish the same work.
-func newCompletionTable(self string, now time.Time, n int) *Table {
-	t := NewTable(self, "d0")
+func newCompletionTable(now time.Time, n int) *Table {
+	t := NewTable("self", "d0")
 	for i := range n {
 		name := fmt.Sprintf("e%d", i)
 		t.Put(now.Add(-time.Minute), Endpoint{Name: name, Service: "s", Domain: fmt.Sprintf("d%d", i%3), Slots: 10}, false)
@@ -70,7 +70,7 @@
 			}
 		}, 1, "e0", 0, 0},
 	} {
-		table := newCompletionTable("self", now, 3)
+		table := newCompletionTable(now, 3)
 		tt.prepare(table)
 		if got := shares(table, now, tt.cost)[tt.endpoint]; got < tt.least || got > tt.most {
 			t.Errorf("%s: %s gets a share of %.2f, want %.2f to %.2f", tt.name, tt.endpoint, got, tt.least, tt.most)
@@ -82,7 +82,7 @@
 // publish nothing, and after they have stopped.
 func TestChoiceWithoutPublishedNumbers(t *testing.T) {
 	now := time.Unix(1000, 0)
-	stopped := newCompletionTable("self", now, 6)
+	stopped := newCompletionTable(now, 6)
 	stopped.Find("s", "e0").SetWork(now, Work{UnitTime: 10 * testUnit, ServiceTime: testUnit})
 	later := now.Add(maxUnitTimeAge + time.Millisecond)
 	never := NewTable("self", "d0")
@@ -103,7 +103,7 @@
 // all calls or none.
 func TestOldNodeAmongNewOnes(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newCompletionTable("self", now, 6)
+	table := newCompletionTable(now, 6)
 	e := table.Find("s", "e3") // in the own domain
 	e.published = published{}
 	got := 0
@@ -155,7 +155,7 @@
 // target looks best for ever.
 func TestKilledNodeGetsNoCalls(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newCompletionTable("self", now, 3)
+	table := newCompletionTable(now, 3)
 	e := table.Find("s", "e0")
 	e.SetWork(now, Work{UnitTime: time.Millisecond, ServiceTime: time.Millisecond})
 	e.CallStarted()
@@ -173,7 +173,7 @@
 // of one domain, each with a few usual endpoints, have more calls than these can run.
 func TestDemandOfOneDomainReachesAllTargets(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newCompletionTable("self", now, 24)
+	table := newCompletionTable(now, 24)
 	for _, e := range table.services["s"].choice {
 		e.SetWork(now, Work{UnitTime: 5 * testUnit, ServiceTime: testUnit})
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,7 +116,6 @@
 	defer span.End()
 	a.Call = span.CallID()
 	a.Replayable = body.replayable
-	a.Method, a.BodyBytes = req.Method, req.ContentLength
 	switch a.Origin {
 	case core.FromCaller, core.FromCallerOrTarget:
 		a.RootID = rootID(a, span)
