--- a/core/cost/slowness.go
+++ b/core/cost/slowness.go
@@ -49,6 +49,9 @@
 	return math.Exp(s.mean + s.slope()*trust*(s.last-s.mean))
 }
 
+// Last returns the slowness at the time of the last report.
+func (s *Slowness) Last() float64 { return s.Factor(s.lastAt) }
+
 // slope returns the change of the measured logarithms for each unit of the reported ones.
 func (s *Slowness) slope() float64 {
 	return max(0, min(1, (s.covariance+priorVariance)/(s.variance+priorVariance)))
--- a/core/state.go
+++ b/core/state.go
@@ -210,6 +210,8 @@
 	OwnedShards     int
 	StoreReachable  bool
 	ManifestVersion uint64
+	Work            route.Work // published of the local target, see Effects
+	Slowness        float64    // of the local target, 1 if unknown
 	// ManifestConfirmedAt is the last time at which the active manifest was known to be
 	// the newest version.
 	ManifestConfirmedAt time.Time
@@ -232,6 +234,8 @@
 		OwnedShards:     s.shardOwner.ShardCount(),
 		StoreReachable:  s.storeReachable,
 		ManifestVersion: s.manifestVersion(),
+		Work:            s.effects.Work,
+		Slowness:        s.placement.slowness.Last(),
 
 		ManifestConfirmedAt: s.manifestConfirmedAt,
 		Evacuations:         s.evacuationStatus(),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,6 +151,10 @@
 	gauge("celeryshelf_target_queued", func(v core.Status) float64 { return float64(v.Gate.Queued) })
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
+	// Both are 0 while the target does not report its load.
+	gauge("celeryshelf_target_unit_seconds", func(v core.Status) float64 { return v.Work.UnitTime.Seconds() })
+	gauge("celeryshelf_target_service_seconds", func(v core.Status) float64 { return v.Work.ServiceTime.Seconds() })
+	gauge("celeryshelf_target_slowness", func(v core.Status) float64 { return v.Slowness })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
 		return clock.BootTime{}.Now().Sub(v.ManifestConfirmedAt).Seconds()
 	})
--- a/internal/agent/call_log.go
+++ b/internal/agent/call_log.go
@@ -115,7 +115,7 @@
 	switch v.Action {
 	case core.ActionRefuse:
 		attrs = append(attrs, slog.String("reason", v.Reason.String()), slog.String("ran", v.Executed.String()),
-			slog.Duration("retry", v.RetryAfter), slog.Int("running", v.Inputs.Running), slog.Int("queued", v.Inputs.Queued))
+			slog.Duration("retry", v.RetryAfter), slog.Int("running", v.Inputs.Running), slog.Int("queued", v.Inputs.Queued), slog.Duration("unit", v.Inputs.Work.UnitTime))
 	case core.ActionRun, core.ActionForward:
 		attrs = append(attrs, slog.String("endpoint", v.Endpoint))
 	case core.ActionReplay, core.ActionDeliver, core.ActionSettle:
