--- a/cmd/bench/experiments.go
+++ b/cmd/bench/experiments.go
@@ -14,6 +14,7 @@
 func experiments() []experiment {
 	return []experiment{
 		{"step", "reducer on one core", "steps >= 1,000,000, allocs 0", step},
+		{"place", "choice of targets by cost and remaining work (simulated)", "gain >= 0.5 at 0.9 of capacity, served-bound >= 0.95 at 1.3", place},
 		{"overhead", "latency added to a call by its two nodes", "added <= 0.41", overhead},
 		{"overload", "demand at three times the capacity", "ratio >= 0.95, vital >= 0.999, waste <= 0.03, p99 <= 2 calm", overload},
 		{"recovery", "a deep service ten times slower for 10 s", "recover <= 1, off stays collapsed", recovery},
--- a/cmd/bench/result.go
+++ b/cmd/bench/result.go
@@ -10,8 +10,9 @@
 
 	Figures
 
-	Points []Point `json:"points,omitempty"`
-	Fits   []Fit   `json:"fits,omitempty"`
+	Points []Point    `json:"points,omitempty"`
+	Fits   []Fit      `json:"fits,omitempty"`
+	Place  []placeRow `json:"place,omitempty"`
 
 	Off    *Figures `json:"off,omitempty"`
 	Static *Figures `json:"static,omitempty"`
