core: the work of the local target is published once for each step

A call's end computed it twice. The reducer now computes it at the end of a step that has changed it. BenchmarkCallAtReportingTarget, added here, varied with the load of the machine: 3.3 to 3.6 us a call before, 2.6 to 3.9 after; 0.4 to 0.7 for a target without reports. No allocation in either. go test ./core: ok.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -138,7 +138,7 @@
 // handleGateRejection handles a call that the local gate did not admit.
 func (s *State) handleGateRejection(now time.Time, c *call, reason Reason) {
 	c.endpoint.CallRejected(now)
-	s.untrack(now, c)
+	s.untrack(c)
 	if c.idempotencyKey.Hash != 0 {
 		s.dedup.Release(c.idempotencyKey)
 	}
@@ -360,7 +360,7 @@
 		c.endpoint.CallCanceled()
 	case phaseQueued:
 		s.gate.Remove(uint64(c.id))
-		s.untrack(now, c)
+		s.untrack(c)
 		s.dedup.Release(c.idempotencyKey)
 		c.endpoint.CallCanceled()
 	case phaseRunning:
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -36,3 +36,28 @@
 		}
 	}
 }
+
+// BenchmarkCallAtReportingTarget measures the steps of a call of another node at a target that
+// reports its load and runs 30 other calls.
+func BenchmarkCallAtReportingTarget(b *testing.B) {
+	for _, known := range []bool{false, true} {
+		b.Run(map[bool]string{false: "silent", true: "reporting"}[known], func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			s := placementNode(now)
+			s.gate.SetSlots(40)
+			report := TargetReport{Known: known, Slots: 40, Slowness: 1}
+			arrive := &CallArrived{Origin: FromNode, Context: CallContext{Endpoint: s.self.Name, Route: "map", Timeout: time.Hour}}
+			finish := &CallFinished{Complete: true, Report: report}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				arrive.Call++
+				s.Step(now, arrive)
+				if arrive.Call > 30 {
+					finish.Call = arrive.Call - 30
+					s.Step(now, finish)
+				}
+			}
+		})
+	}
+}
--- a/core/placement.go
+++ b/core/placement.go
@@ -25,6 +25,7 @@
 	slowness   cost.Slowness
 	backlog    backlog.Backlog
 	sentCosts  map[string]*cost.Estimator
+	changed    bool // the backlog has changed since the work was published
 }
 
 func newPlacement() placement {
@@ -103,7 +104,7 @@
 func (s *State) trackWaiting(now time.Time, c *call) {
 	if s.placement.active(now) {
 		s.placement.backlog.Wait(uint64(c.id), c.cost)
-		s.publishWork(now)
+		s.placement.changed = true
 	}
 }
 
@@ -112,15 +113,15 @@
 	if p.active(now) {
 		c.startSlowness = p.slowness.Factor(now)
 		p.backlog.Start(now, uint64(c.id), c.cost)
-		s.publishWork(now)
+		s.placement.changed = true
 	}
 }
 
 // untrack removes a call that has left the target's queue.
-func (s *State) untrack(now time.Time, c *call) {
+func (s *State) untrack(c *call) {
 	if s.placement.backlog.Len() > 0 {
 		s.placement.backlog.Remove(uint64(c.id))
-		s.publishWork(now)
+		s.placement.changed = true
 	}
 }
 
@@ -128,7 +129,7 @@
 // succeeded.
 func (s *State) trackEnd(now time.Time, c *call, took time.Duration, succeeded bool) {
 	p := &s.placement
-	s.untrack(now, c)
+	s.untrack(c)
 	if !succeeded || !p.active(now) {
 		return
 	}
@@ -138,12 +139,13 @@
 		slowness = (slowness + c.startSlowness) / 2
 	}
 	p.costs.Observe(now, c.route, took, slowness)
-	s.publishWork(now)
+	p.changed = true
 }
 
 // publishWork updates the work that responses to other nodes state.
 func (s *State) publishWork(now time.Time) {
 	p := &s.placement
+	p.changed = false
 	s.effects.Work = route.Work{}
 	if !p.active(now) || s.self.TargetClosed {
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -165,6 +165,9 @@
 	default:
 		s.handleStoreEvent(now, e)
 	}
+	if s.placement.changed {
+		s.publishWork(now)
+	}
 	return &s.effects
 }
 
