--- a/core/attempt.go
+++ b/core/attempt.go
@@ -96,14 +96,14 @@
 		c.phase = phaseQueued
 		s.trackWaiting(now, c)
 	case admit.Refused:
-		reason := ReasonOverloaded
+		reason := s.gateRefusal(now)
 		if s.gate.MissesDeadline(now, offered) {
 			reason = ReasonDeadlineExceeded
 		}
 		s.handleGateRejection(now, c, reason)
 	}
 	if evicted.ID != 0 {
-		s.handleGateRejection(now, s.calls[CallID(evicted.ID)], ReasonOverloaded)
+		s.handleGateRejection(now, s.calls[CallID(evicted.ID)], s.gateRefusal(now))
 	}
 }
 
@@ -220,7 +220,9 @@
 
 // isRedirect reports whether a refusal means only that the call was sent to the
 // wrong endpoint. Another attempt then costs no target any work.
-func isRedirect(reason Reason) bool { return reason == ReasonDraining || reason == ReasonWrongTarget }
+func isRedirect(reason Reason) bool {
+	return reason == ReasonDraining || reason == ReasonWrongTarget || reason == ReasonTargetCold
+}
 
 // handleAttemptFailed handles an attempt that produced no response.
 func (s *State) handleAttemptFailed(now time.Time, e *AttemptFailed) {
@@ -236,9 +238,11 @@
 	if e.Cause == CauseTargetOverloaded {
 		c.excluded = append(c.excluded, c.endpoint.Name)
 	}
-	s.recordEndpointLoad(now, c, e.Load)
+	c.recordEndpointLoad(now, e.Load)
+	s.recordWork(now, c, e.Load.Work)
 	s.recordResult(now, c, e.Cause != CauseRejected)
-	s.recordTargetReport(now, e.Report)
+	s.recordTargetReport(now, e.Report.Load)
+	s.observeFailure(now, c, e)
 	local := c.phase == phaseRunning
 	if local {
 		s.gate.Complete(s.completion(now, c, e.Cause == CauseTargetOverloaded, false))
@@ -256,10 +260,10 @@
 }
 
 // recordEndpointLoad stores the load reported at the end of a forwarded attempt.
-func (s *State) recordEndpointLoad(now time.Time, c *call, l TargetLoad) {
+func (c *call) recordEndpointLoad(now time.Time, l TargetLoad) {
 	if l.Known && c.phase == phaseForwarded {
 		c.endpoint.SetLoad(now, l.Utilization)
-		s.recordWork(now, c, l.Work)
+		c.endpoint.SetColdFor(c.attemptStart, l.ColdFor)
 	}
 }
 
@@ -320,8 +324,9 @@
 		return
 	}
 	c.level = max(c.level, e.Level)
-	s.recordTargetReport(now, e.Report)
+	s.recordTargetReport(now, e.Report.Load)
 	s.recordResult(now, c, e.Failed)
+	s.observeResponse(now, c, e.Report)
 	switch c.phase {
 	case phaseRunning:
 		s.gate.Complete(s.completion(now, c, e.Overloaded, e.Complete && !e.Failed))
@@ -332,7 +337,8 @@
 		}
 	case phaseForwarded:
 		c.endpoint.CallAnswered(now.Sub(c.attemptStart))
-		s.recordEndpointLoad(now, c, e.Load)
+		c.recordEndpointLoad(now, e.Load)
+		s.recordWork(now, c, e.Load.Work)
 		c.budget.Return(c.lentRetries, e.UnspentRetries)
 	}
 	s.observeAdmissionLevel(now, c)
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -21,7 +21,7 @@
 		s.Step(now, &ClaimDone{Shard: quota.Shard{Workspace: "bo-lieu", Index: i, Count: 3}, Held: true})
 	}
 	now = now.Add(3 * time.Second)
-	arrive := &CallArrived{Route: "map", KeyDigest: manifest.DigestOf("k"), HasKey: true}
+	arrive := &CallArrived{Route: lookup("map"), KeyDigest: manifest.DigestOf("k"), HasKey: true}
 	finish := &CallFinished{Complete: true}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
@@ -45,9 +45,9 @@
 			now := time.Unix(1000, 0)
 			s := placementNode(now)
 			s.gate.SetSlots(40)
-			report := TargetReport{Known: known, Slots: 40, Slowness: 1}
+			report := LoadReport{Known: known, Slots: 40, Slowness: 1}
 			arrive := &CallArrived{Origin: FromNode, Context: CallContext{Endpoint: s.self.Name, Route: "map", Timeout: time.Hour}}
-			finish := &CallFinished{Complete: true, Report: report}
+			finish := &CallFinished{Complete: true, Report: TargetReport{Load: report}}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(time.Millisecond)
--- a/core/effect.go
+++ b/core/effect.go
@@ -6,7 +6,6 @@
 
 	"celeryshelf/core/admit"
 	"celeryshelf/core/evacuation"
-	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
@@ -23,7 +22,7 @@
 	// Acknowledgements lists the messages of the local target that may be acknowledged. What
 	// they told is then not forgotten in a restart.
 	Acknowledgements []AckID
-	NewManifest      *manifest.Versioned // a manifest that has just become active
+	NewManifest      *ActiveManifest // a manifest that has just become active
 	// Work is what responses to other nodes state of the work at the local target. Unlike the
 	// other effects it is kept from step to step.
 	Work route.Work
@@ -89,6 +88,7 @@
 	ReasonBadBody                     // the request ended before its body was complete
 	ReasonBodyTooLarge                // the body exceeds the limit in the manifest
 	ReasonHeaderTooLarge              // the headers exceed the limit in the manifest
+	ReasonTargetCold                  // the target is cold and has received as many calls as it may for now
 )
 
 // Verdict is the decision on one call.
@@ -117,9 +117,10 @@
 	ManifestAge     time.Duration // time since it was last confirmed to be the newest
 	Remaining       time.Duration // time until the call's deadline
 	Attempt         int
-	Running         int     // calls running at the local target
-	Queued          int     // calls queued for the local target
-	Load            float64 // running and queued calls divided by slots
+	Running         int           // calls running at the local target
+	Queued          int           // calls queued for the local target
+	Load            float64       // running and queued calls divided by slots
+	ColdFor         time.Duration // time for which the local target stays cold
 	Work            route.Work
 }
 
@@ -202,6 +203,9 @@
 	NoticeDepartureRecalled
 	NoticeEvacuationStarted
 	NoticeEvacuationEnded
+	NoticeTargetCold
+	NoticeTargetRamping
+	NoticeTargetWarm
 )
 
 // Notice is an event for the operators' log.
--- a/core/event.go
+++ b/core/event.go
@@ -11,6 +11,7 @@
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
 	"celeryshelf/core/route"
+	"celeryshelf/core/warmup"
 )
 
 // CallID identifies a call at one node. It is the span ID of the call's hop.
@@ -45,11 +46,12 @@
 }
 
 // CallArrived reports a new call. The sender must not modify the event until the
-// call has ended.
+// call has ended. The reducer updates its Route if a newer manifest has become active since
+// the lookup.
 type CallArrived struct {
 	Call            CallID
 	Origin          Origin
-	Route           string
+	Route           RouteLookup     // unless FromNode
 	KeyDigest       manifest.Digest // FromCaller: digest of the API key
 	HasKey          bool            // FromCaller: the call carries an API key
 	ParentCall      CallID          // FromTarget: the running call that made this one
@@ -78,9 +80,10 @@
 // TargetLoad is the load of a target, as its node reports it with a response or a
 // refusal.
 type TargetLoad struct {
-	Known       bool    // the node reported a load
-	Utilization float64 // running and queued calls divided by slots
-	Work        Work    // zero if the node published none
+	Known       bool          // the node reported a load
+	Utilization float64       // running and queued calls divided by slots
+	ColdFor     time.Duration // time for which the target stays cold, 0 if it is not
+	Work        Work          // zero if the node published none
 }
 
 // Work is what a node publishes of the work at its target.
@@ -90,8 +93,8 @@
 	At   time.Time     // when the response's headers arrived; its body may take long
 }
 
-// TargetReport is the load that the local target reports with a response.
-type TargetReport struct {
+// LoadReport is the load that the local target reports with a response.
+type LoadReport struct {
 	Known    bool
 	Running  int       // calls that it runs
 	Waiting  int       // calls that wait in it
@@ -106,23 +109,23 @@
 	Call           CallID
 	Cause          Cause
 	Executed       Executed
-	Reason         Reason       // CauseRejected: the reason given by the other node
-	Level          admit.Level  // admission level reported downstream
-	UnspentRetries int          // unused part of the forwarded retry budget
-	Load           TargetLoad   // of the endpoint
-	Report         TargetReport // of the local target
+	Reason         Reason      // CauseRejected: the reason given by the other node
+	Level          admit.Level // admission level reported downstream
+	UnspentRetries int         // unused part of the forwarded retry budget
+	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallFinished reports that a call has ended and its response has been passed on.
 type CallFinished struct {
 	Call           CallID
-	Complete       bool         // the response was complete
-	Failed         bool         // the response status is a failure
-	Overloaded     bool         // the target refused the call as overloaded
-	Level          admit.Level  // admission level reported downstream
-	UnspentRetries int          // unused part of the forwarded retry budget
-	Load           TargetLoad   // of the endpoint
-	Report         TargetReport // of the local target
+	Complete       bool        // the response was complete
+	Failed         bool        // the response status is a failure
+	Overloaded     bool        // the target refused the call as overloaded
+	Level          admit.Level // admission level reported downstream
+	UnspentRetries int         // unused part of the forwarded retry budget
+	Load           TargetLoad  // of the endpoint
+	Report         TargetReport
 }
 
 // CallCanceled reports that the sender has abandoned the call.
@@ -137,6 +140,7 @@
 type SettingsChanged struct {
 	MaxStaleness time.Duration      // see Settings
 	RetryLimit   retry.ServiceLimit // see Settings
+	WarmupBound  warmup.Bound       // see Settings
 }
 
 // DrainRequested starts the drain of the node.
--- a/core/placement.go
+++ b/core/placement.go
@@ -52,7 +52,7 @@
 // recordWork stores the work published with the end of a forwarded attempt, and what the call
 // has cost.
 func (s *State) recordWork(now time.Time, c *call, w Work) {
-	if w.UnitTime <= 0 {
+	if w.UnitTime <= 0 || c.phase != phaseForwarded {
 		return
 	}
 	c.endpoint.SetWork(instantOf(now, w.At), w.Work)
@@ -75,7 +75,7 @@
 
 // recordTargetReport applies a report of the local target. The calls at the target are counted
 // here, as it can be reached through this node only, so that only the slowness is used.
-func (s *State) recordTargetReport(now time.Time, r TargetReport) {
+func (s *State) recordTargetReport(now time.Time, r LoadReport) {
 	if !r.Known {
 		return
 	}
--- a/core/placement_test.go
+++ b/core/placement_test.go
@@ -23,7 +23,7 @@
 
 // runLocal plays a call of another node at the local target that takes 20 ms, and returns the
 // work published at its end.
-func runLocal(t *testing.T, s *State, now time.Time, id CallID, r TargetReport) route.Work {
+func runLocal(t *testing.T, s *State, now time.Time, id CallID, r LoadReport) route.Work {
 	t.Helper()
 	e := s.Step(now, &CallArrived{Call: id, Origin: FromNode, Context: CallContext{
 		Endpoint: s.self.Name, Route: "map", Timeout: time.Second,
@@ -31,7 +31,7 @@
 	if len(e.Verdicts) != 1 || e.Verdicts[0].Action != ActionRun {
 		t.Fatalf("call %d: %+v, want it to run", id, e.Verdicts)
 	}
-	return s.Step(now.Add(20*time.Millisecond), &CallFinished{Call: id, Complete: true, Report: r}).Work
+	return s.Step(now.Add(20*time.Millisecond), &CallFinished{Call: id, Complete: true, Report: TargetReport{Load: r}}).Work
 }
 
 // TestWorkIsPublishedWhileTheTargetReports guards against a changed choice for targets without
@@ -40,10 +40,10 @@
 	now := time.Unix(1000, 0)
 	s := placementNode(now)
 	now = now.Add(3 * time.Second)
-	if w := runLocal(t, s, now, 1, TargetReport{}); w != (route.Work{}) {
+	if w := runLocal(t, s, now, 1, LoadReport{}); w != (route.Work{}) {
 		t.Errorf("a target without reports publishes %+v", w)
 	}
-	report := TargetReport{Known: true, Running: 1, Slots: 8, Slowness: 1}
+	report := LoadReport{Known: true, Running: 1, Slots: 8, Slowness: 1}
 	if w := runLocal(t, s, now.Add(time.Second), 2, report); w.UnitTime <= 0 {
 		t.Error("a target that reports publishes nothing")
 	}
@@ -63,7 +63,7 @@
 		var w route.Work
 		for i := range 50 {
 			now = now.Add(100 * time.Millisecond)
-			w = runLocal(t, s, now, CallID(i+1), TargetReport{Known: true, Running: running, Waiting: running, Slots: 8, Slowness: 1})
+			w = runLocal(t, s, now, CallID(i+1), LoadReport{Known: true, Running: running, Waiting: running, Slots: 8, Slowness: 1})
 		}
 		last = append(last, w)
 	}
@@ -81,9 +81,9 @@
 	var want route.Work
 	for i := range 20 {
 		now = now.Add(100 * time.Millisecond)
-		want = runLocal(t, s, now, CallID(i+1), TargetReport{Known: true, Slots: 8, Slowness: 1})
+		want = runLocal(t, s, now, CallID(i+1), LoadReport{Known: true, Slots: 8, Slowness: 1})
 	}
-	s.recordTargetReport(now.Add(21*time.Millisecond), TargetReport{Known: true, Slots: 8, Slowness: 50, At: now.Add(-time.Second)})
+	s.recordTargetReport(now.Add(21*time.Millisecond), LoadReport{Known: true, Slots: 8, Slowness: 50, At: now.Add(-time.Second)})
 	s.publishWork(now.Add(21 * time.Millisecond))
 	if s.effects.Work != want {
 		t.Errorf("published %+v, want %+v", s.effects.Work, want)
@@ -96,7 +96,7 @@
 	now := time.Unix(1000, 0)
 	s := placementNode(now)
 	now = now.Add(3 * time.Second)
-	runLocal(t, s, now, 1, TargetReport{Known: true, Slots: 8, Slowness: 1})
+	runLocal(t, s, now, 1, LoadReport{Known: true, Slots: 8, Slowness: 1})
 	now = now.Add(time.Second)
 	const calls = 200
 	for i := range calls {
@@ -133,14 +133,14 @@
 	now = now.Add(3 * time.Second)
 	for i := range 20 {
 		now = now.Add(100 * time.Millisecond)
-		runLocal(t, s, now, CallID(i+1), TargetReport{Known: true, Slots: 8, Slowness: 2})
+		runLocal(t, s, now, CallID(i+1), LoadReport{Known: true, Slots: 8, Slowness: 2})
 	}
 	for i, jumped := range []time.Time{now.Add(step), now} {
 		if w := s.Step(jumped, &Tick{}).Work; w.UnitTime < 0 || w.UnitTime > time.Minute {
 			t.Errorf("published %+v after step %d", w, i)
 		}
 	}
-	w := runLocal(t, s, now.Add(2*step), 100, TargetReport{Known: true, Slots: 8, Slowness: 2})
+	w := runLocal(t, s, now.Add(2*step), 100, LoadReport{Known: true, Slots: 8, Slowness: 2})
 	if w.UnitTime < 5*time.Millisecond || w.UnitTime > 80*time.Millisecond {
 		t.Errorf("published %+v, want about 20 ms", w)
 	}
@@ -159,7 +159,7 @@
 	for i := range 300 {
 		now = now.Add(10 * time.Millisecond)
 		id := CallID(i + 1)
-		e := s.Step(now, &CallArrived{Call: id, Origin: FromCaller, Route: "map", Replayable: true})
+		e := s.Step(now, &CallArrived{Call: id, Origin: FromCaller, Route: lookup("map"), Replayable: true})
 		if len(e.Verdicts) == 0 || e.Verdicts[0].Action != ActionForward {
 			t.Fatalf("call %d: %+v, want it to be forwarded", id, e.Verdicts)
 		}
--- a/core/route/completion.go
+++ b/core/route/completion.go
@@ -124,7 +124,9 @@
 	}) {
 		return t.Pick(now, service, seed, excluded)
 	}
-	usable := func(e *Endpoint) bool { return e.ready(now) && !slices.Contains(excluded, e.Name) }
+	usable := func(e *Endpoint) bool {
+		return e.ready(now) && !slices.Contains(excluded, e.Name) && (e.coldUntil.IsZero() || e.inColdShare(now, seed))
+	}
 	var best *Endpoint
 	for i := range s.choice {
 		// The order differs from call to call, as equal endpoints should get equal shares.
--- a/core/route/completion_test.go
+++ b/core/route/completion_test.go
@@ -188,3 +188,16 @@
 		}
 	}
 }
+
+// TestColdEndpointGetsItsShareByCompletion guards against a cold target that gets more calls
+// than it tolerates because it has no work waiting.
+func TestColdEndpointGetsItsShareByCompletion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newCompletionTable(now, 3)
+	e := table.Find("s", "e0")
+	e.ColdRate, e.RampDuration = 25, 10*time.Second // 25 a second of the 250 that ten slots can run
+	e.SetColdFor(now, 10*time.Second)
+	if got := shares(table, now.Add(time.Second), 1)["e0"]; got < 0.03 || got > 0.2 {
+		t.Errorf("the cold endpoint gets a share of %.2f, want about 0.1", got)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"celeryshelf/core"
 	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 	"celeryshelf/internal/clock"
 	"celeryshelf/internal/control"
 	"celeryshelf/internal/relay"
@@ -72,6 +73,7 @@
 	ElectWatchers                     bool               // see core.Settings
 	RetryLimit                        retry.ServiceLimit // see core.Settings
 	Evacuation                        time.Duration      // see core.Settings
+	WarmupBound                       warmup.Bound       // see core.Settings
 	Logger                            *slog.Logger
 	Store                             store.Client
 	Layout                            store.Layout
@@ -80,6 +82,7 @@
 	Tracer                            Tracer
 	TargetClient                      http1.Config
 	NodeTransport                     http.RoundTripper // see relay.Config; must support trailers unless PlannedAdmission is set
+	ReadAheadBytes                    int64             // see relay.Config
 	MaxNodeConns                      int               // limit on connections from other nodes, 0 for none
 	// The durations below count from the start of draining.
 	ListenerGrace time.Duration // until the servers with StopFirst stop
@@ -120,7 +123,7 @@
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation,
+			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation, WarmupBound: c.WarmupBound,
 		}),
 		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot,
 	})
@@ -128,7 +131,7 @@
 	a.session.SetSink(a.loop)
 	a.relay = relay.New(relay.Config{
 		Observer: a.observer, Loop: a.loop, Router: router, Dialect: c.NewDialect(router), Tracer: c.Tracer, Clock: boot,
-		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission,
+		TargetTransport: http1.NewClient(c.TargetClient), NodeTransport: c.NodeTransport, OutcomeTrailers: !c.PlannedAdmission, ReadAheadBytes: c.ReadAheadBytes,
 	})
 	a.registerGauges()
 	a.AddListener(Listener{Name: "nodes", Address: cmp.Or(c.NodeListenAddr, c.Self.NodeAddr), Server: node.NewServer(a.relay.NodeHandler(node.RefusalWriter{})), MaxConns: c.MaxNodeConns, Refusal: node.ConnectionRefusal()})
@@ -149,12 +152,20 @@
 	gauge("celeryshelf_calls", func(v core.Status) float64 { return float64(v.Calls) })
 	gauge("celeryshelf_target_running", func(v core.Status) float64 { return float64(v.Gate.Running) })
 	gauge("celeryshelf_target_queued", func(v core.Status) float64 { return float64(v.Gate.Queued) })
+	gauge("celeryshelf_target_held_back", func(v core.Status) float64 { return float64(v.Gate.HeldBack) })
+	gauge("celeryshelf_target_cold_seconds", func(v core.Status) float64 {
+		if v.ColdUntil.IsZero() {
+			return 0
+		}
+		return max(0, v.ColdUntil.Sub(clock.BootTime{}.Now()).Seconds())
+	})
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
 	// Both are 0 while the target does not report its load.
 	gauge("celeryshelf_target_unit_seconds", func(v core.Status) float64 { return v.Work.UnitTime.Seconds() })
 	gauge("celeryshelf_target_service_seconds", func(v core.Status) float64 { return v.Work.ServiceTime.Seconds() })
 	gauge("celeryshelf_target_slowness", func(v core.Status) float64 { return v.Slowness })
+	metrics.GetOrCreateGauge("celeryshelf_read_ahead_bytes", func() float64 { return float64(a.relay.BufferedBytes()) })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
 		return clock.BootTime{}.Now().Sub(v.ManifestConfirmedAt).Seconds()
 	})
@@ -237,7 +248,7 @@
 			return nil, fmt.Errorf("listen for %s: %w", s.Name, err)
 		}
 		a.open[s.Name] = l
-		s.Server.ConnState = l.ConnState
+		s.Server.ConnState, s.Server.ConnContext = l.ConnState, tcp.WithConn
 		group.Go(func() {
 			if err := s.Server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.Name, err)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"celeryshelf/core"
-	"celeryshelf/core/manifest"
 	"celeryshelf/core/route"
 )
 
@@ -27,7 +26,7 @@
 type Observer interface {
 	Verdict(v *core.Verdict, a *core.CallArrived)
 	Notice(n core.Notice)
-	ManifestActivated(m *manifest.Versioned)
+	ManifestActivated(m *core.ActiveManifest)
 }
 
 // Clock returns the time in the reducer's time base.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,10 +35,12 @@
 
 	response      *http.Response // of the last attempt, not yet written; a failed one may still be delivered
 	cancelAttempt context.CancelFunc
-	verdict       core.Verdict
 	attemptStart  time.Time
-	headAt        time.Time         // when the headers of its response arrived
-	report        core.TargetReport // of the local target, with that response
+	headAt        time.Time // when the headers of the last response arrived
+	// detachSender keeps the attempt of a streamed body from ending with the sender's connection. It
+	// returns false if the connection has ended.
+	detachSender func() bool
+	verdict      core.Verdict
 }
 
 // executeVerdicts executes verdicts until the call has ended.
@@ -87,6 +89,7 @@
 func (x *exchange) refuse(v core.Verdict) {
 	x.span.SetAttribute("reason", v.Reason.String())
 	x.span.SetAttribute("ran", v.Executed.String())
+	x.closeAfterUpload()
 	x.refuser.Refuse(statusWriter{x.w, &x.status}, v)
 	x.complete = true
 }
@@ -111,6 +114,7 @@
 		return
 	}
 	copyInto(x.w.Header(), ans.header)
+	x.closeAfterUpload()
 	if x.origin == core.FromNode {
 		node.SetOutcome(x.w.Header(), "", node.Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
 	}
@@ -124,7 +128,7 @@
 // verdict.
 func (x *exchange) attempt(v core.Verdict) bool {
 	x.attemptStart = x.Clock.Now()
-	ctx, cancel := context.WithTimeout(x.ctx, v.AttemptEnd.Sub(x.attemptStart))
+	ctx, cancel := x.newAttemptContext(v)
 	x.cancelAttempt = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // discardResponse or writeResponse closes it
 	if err != nil {
@@ -132,11 +136,6 @@
 		return true
 	}
 	x.response, x.headAt = res, x.Clock.Now()
-	x.report = core.TargetReport{}
-	if v.Action == core.ActionRun {
-		x.report = x.Dialect.ParseTargetReport(res)
-		x.report.At = x.headAt
-	}
 	if v.Action == core.ActionForward {
 		if why, ran, refused := node.ParseRefusal(res.Header); refused {
 			o := node.ExtractOutcome(res.Header)
@@ -145,12 +144,23 @@
 		}
 	}
 	if declined, ran := x.Dialect.ParseTargetRefusal(res); declined && x.reportsRefusal(ran) {
-		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran, Report: x.report})
+		x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseTargetOverloaded, Executed: ran, Report: x.targetReport(res)})
 		return true
 	}
 	return x.deliverResponse(ctx)
 }
 
+// targetReport returns what a response says of the local target, and nothing for a response
+// that another node has passed on.
+func (x *exchange) targetReport(res *http.Response) core.TargetReport {
+	if x.verdict.Action != core.ActionRun {
+		return core.TargetReport{}
+	}
+	r := x.Dialect.ParseTargetReport(res)
+	r.Load.At = x.headAt
+	return r
+}
+
 // reportsRefusal reports whether a refusal by the target goes to the control loop instead
 // of to the sender. At the node at which the call entered, it does if the request can be
 // sent again. If the call may have been executed, only that node may try another target,
@@ -275,8 +285,9 @@
 	defer func() { _ = res.Body.Close() }()
 	copyInto(x.w.Header(), copyHeader(res.Header))
 	x.suppressImplicitHeaders(x.w.Header())
+	x.closeAfterUpload()
 	if x.origin == core.FromNode {
-		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs.Load)
+		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs)
 		node.SetWork(x.w.Header(), core.Work{Work: x.Loop.Work(), Took: x.headAt.Sub(x.attemptStart)})
 	}
 	for name := range res.Trailer {
@@ -298,11 +309,13 @@
 		Complete:   err == nil,
 		Failed:     res.StatusCode >= http.StatusInternalServerError,
 		Overloaded: res.StatusCode == http.StatusServiceUnavailable,
-		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header), Report: x.report,
+		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header),
+		Report: x.targetReport(res),
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	x.awaitForwarding(res)
 	x.sendOutcome()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -11,12 +12,13 @@
 	"celeryshelf/core/manifest"
 	"celeryshelf/internal/control"
 	"celeryshelf/io/node"
+	"celeryshelf/io/tcp"
 )
 
-// Router matches requests to routes and returns the limits on requests.
+// Router matches requests to routes and returns the limits on requests, both by the same
+// version of the manifest.
 type Router interface {
-	Route(r *http.Request) (name string, ok bool)
-	Limits() manifest.Limits
+	Lookup(r *http.Request) (core.RouteLookup, manifest.Limits)
 }
 
 // Clock returns the time in the reducer's time base.
@@ -62,33 +64,44 @@
 	// After any other error the call may have been executed.
 	TargetTransport, NodeTransport http.RoundTripper
 	OutcomeTrailers                bool // return the outcome of each call to the sending node in trailers
+	// ReadAheadBytes limits the bytes of long bodies that are read before the target reads them,
+	// for all calls together. 0 stands for DefaultReadAheadBytes.
+	ReadAheadBytes int64
 }
 
 // Relay forwards the calls of one node.
 type Relay struct {
 	Config
 	cache *responseCache
+	ahead *readAhead
 }
 
 // New returns a relay.
 func New(c Config) *Relay {
-	return &Relay{Config: c, cache: newResponseCache()}
+	if c.ReadAheadBytes == 0 {
+		c.ReadAheadBytes = DefaultReadAheadBytes
+	}
+	return &Relay{Config: c, cache: newResponseCache(), ahead: &readAhead{total: c.ReadAheadBytes}}
 }
 
+// BufferedBytes returns how much of its budget for long bodies the relay uses, in bytes.
+func (r *Relay) BufferedBytes() int64 { return r.ahead.used.Load() }
+
 // CallHandler returns the handler for calls that enter the fleet at this node, from
 // callers or from the local target.
 func (r *Relay) CallHandler(origin core.Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		info := r.Dialect.ParseRequest(req)
 		a := core.CallArrived{Origin: origin, RequestID: info.RequestID, ParentRequestID: info.ParentRequestID, IdempotencyHash: info.IdempotencyDigest, Timeout: info.Timeout, HasKey: info.HasAPIKey}
-		a.Route, _ = r.Router.Route(req)
+		var limits manifest.Limits
+		a.Route, limits = r.Router.Lookup(req)
 		if info.HasAPIKey {
 			a.KeyDigest = manifest.DigestOf(info.APIKey)
 		}
 		if origin == core.FromTarget {
 			a.RequestHash = requestDigest(req)
 		}
-		r.serve(w, req, a, r.Dialect, info.APIKey)
+		r.serve(w, req, a, limits, r.Dialect, info.APIKey)
 	})
 }
 
@@ -101,12 +114,13 @@
 			return
 		}
 		info := r.Dialect.ParseRequest(req)
-		r.serve(w, req, core.CallArrived{Origin: core.FromNode, RequestID: info.RequestID, Context: pass}, refuser, "")
+		// The limits are checked by the node at which the call entered.
+		r.serve(w, req, core.CallArrived{Origin: core.FromNode, RequestID: info.RequestID, Context: pass}, manifest.Limits{}, refuser, "")
 	})
 }
 
-func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, refuser Refuser, apiKey string) {
-	body, why := r.open(w, req, a.Origin)
+func (r *Relay) serve(w http.ResponseWriter, req *http.Request, a core.CallArrived, limits manifest.Limits, refuser Refuser, apiKey string) {
+	body, why := r.open(req, limits)
 	if why != core.ReasonNone {
 		w.Header().Set("Connection", "close")
 		refuser.Refuse(w, core.Verdict{Reason: why})
@@ -124,11 +138,14 @@
 	case core.FromNode:
 	}
 	span.SetAttribute("origin", a.Origin.String())
-	span.SetAttribute("route", a.Route+a.Context.Route)
+	span.SetAttribute("route", a.Route.Name+a.Context.Route)
 	x := &exchange{
 		Relay: r, w: w, req: req, ctx: req.Context(), span: span, body: body,
 		refuser: refuser, apiKey: apiKey, origin: a.Origin, requestID: a.RequestID,
 	}
+	if body.stream != nil {
+		defer x.startStream()()
+	}
 	began := time.Now()
 	x.call = r.Loop.BeginCall(a)
 	defer func() {
@@ -137,15 +154,29 @@
 		})
 	}()
 	x.executeVerdicts()
+	x.discardUpload()
+}
+
+// startStream starts to read the streamed body of a call and returns the function that ends it. If
+// the body breaks off, the context of the call ends.
+func (x *exchange) startStream() (stop func()) {
+	// Without it, net/http reads from the body itself when the response begins.
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	ctx, cancel := context.WithCancel(x.ctx)
+	connection := x.ctx
+	x.ctx = ctx
+	s := x.body.stream
+	s.config = streamConfig{
+		budget: x.ahead, onRequest: x.req.Header.Get("Expect") != "",
+		senderLeft: func() bool { return tcp.PeerClosed(connection) }, failed: cancel,
+	}
+	go s.run()
+	return func() { s.stop(); cancel() }
 }
 
 // open checks the size of a request and prepares its body. It returns the reason for
 // which the request is refused, or ReasonNone.
-func (r *Relay) open(w http.ResponseWriter, req *http.Request, origin core.Origin) (body, core.Reason) {
-	limits := r.Router.Limits()
-	if origin == core.FromNode {
-		limits = manifest.Limits{} // checked by the node at which the call entered
-	}
+func (r *Relay) open(req *http.Request, limits manifest.Limits) (body, core.Reason) {
 	if limits.MaxHeaderBytes > 0 && headerSize(req.Header) > limits.MaxHeaderBytes {
 		return body{}, core.ReasonHeaderTooLarge
 	}
@@ -153,9 +184,8 @@
 		if req.ContentLength > limits.MaxBodyBytes {
 			return body{}, core.ReasonBodyTooLarge
 		}
-		req.Body = http.MaxBytesReader(w, req.Body, limits.MaxBodyBytes)
 	}
-	b, err := openBody(req)
+	b, err := openBody(req, limits.MaxBodyBytes)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"celeryshelf/core"
 	"celeryshelf/core/member"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/warmup"
 	"celeryshelf/internal/agent"
 	"celeryshelf/internal/logging"
 	"celeryshelf/internal/relay"
@@ -45,7 +46,9 @@
 	// refused. It is below one half because the platform does not count a request as lost if
 	// it was sent in the first half of that time and its target still works on it in the last
 	// sixth. It counts requests that were sent later.
-	callerGraceRatio  = 0.45
+	callerGraceRatio = 0.45
+	// readAheadDivisor is the part of the memory for bodies that are read ahead of their target.
+	readAheadDivisor  = 16
 	readHeaderTimeout = 5 * time.Second
 	// maxLocalHeaderBytes limits the heads of heartbeats, probes and requests for metrics.
 	maxLocalHeaderBytes = 16 << 10
@@ -92,12 +95,12 @@
 			NodeAddr: nodeAddr, ControlAddr: controlAddr,
 		},
 		NodeListenAddr: s.Listen.Node, ControlListenAddr: s.Listen.Control,
-		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, Logger: log, Tracer: untraced{},
+		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, WarmupBound: warmupBound(s), Logger: log, Tracer: untraced{},
 		Store:    kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
 		NewDialect:    func(*caller.Router) relay.Dialect { return dialect },
-		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes,
+		NodeTransport: node.NewHTTP1Transport(idle), MaxNodeConns: share.nodes, ReadAheadBytes: int64(s.MemoryMiB) * (1 << 20) / readAheadDivisor,
 		TargetClient:  http1.Config{Address: s.Target, Verifier: dialect, Idle: idle, MaxHeadBytes: s.MaxHeadBytes},
 		ListenerGrace: listenerGrace, TargetGrace: listenerGrace, CallerGrace: time.Duration(callerGraceRatio * float64(s.StopTimeout.Duration)), DrainTimeout: time.Duration(drainTimeoutRatio * float64(s.StopTimeout.Duration)),
 	})
@@ -146,12 +149,21 @@
 	return retry.ServiceLimit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration}
 }
 
+// warmupBound returns the bound on the calls that a cold target receives, the zero value if it
+// is not set.
+func warmupBound(s settings.Sidecar) warmup.Bound {
+	if s.Warmup == nil {
+		return warmup.Bound{}
+	}
+	return warmup.Bound{Overshoot: s.Warmup.Overshoot, Slack: s.Warmup.Slack}
+}
+
 // runningNode applies changed settings to a running node.
 type runningNode struct{ *agent.Agent }
 
 // Apply applies the settings that can change while the node runs.
 func (a runningNode) Apply(s settings.Sidecar) {
-	a.Post(&core.SettingsChanged{MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s)})
+	a.Post(&core.SettingsChanged{MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), WarmupBound: warmupBound(s)})
 }
 
 func server(h http.Handler) *http.Server {
