--- a/core/event.go
+++ b/core/event.go
@@ -10,6 +10,7 @@
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
 	"celeryshelf/core/retry"
+	"celeryshelf/core/route"
 	"celeryshelf/core/warmup"
 )
 
@@ -82,6 +83,24 @@
 	Known       bool          // the node reported a load
 	Utilization float64       // running and queued calls divided by slots
 	ColdFor     time.Duration // time for which the target stays cold, 0 if it is not
+	Work        Work          // zero if the node published none
+}
+
+// Work is what a node publishes of the work at its target.
+type Work struct {
+	route.Work
+	Took time.Duration // service time of the call that the figures came with, 0 if it was refused
+	At   time.Time     // when the response's headers arrived; its body may take long
+}
+
+// LoadReport is the load that the local target reports with a response.
+type LoadReport struct {
+	Known    bool
+	Running  int       // calls that it runs
+	Waiting  int       // calls that wait in it
+	Slots    int       // calls that it can run concurrently
+	At       time.Time // when the response's headers arrived
+	Slowness float64   // how long work takes at present, as a multiple of the usual, 1 if not reported
 }
 
 // AttemptFailed reports an attempt that failed before any part of its response was
--- a/core/warmup.go
+++ b/core/warmup.go
@@ -26,6 +26,7 @@
 
 // TargetReport is what a response of the local target says apart from its result.
 type TargetReport struct {
+	Load LoadReport
 	// Misdirected is set if the target has rejected the request as meant for another
 	// instance. It does not count among the requests that a cold target receives.
 	Misdirected     bool
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"celeryshelf/core"
 	"celeryshelf/internal/control"
@@ -35,6 +36,8 @@
 
 	response      *http.Response // of the last attempt, not yet written; a failed one may still be delivered
 	cancelAttempt context.CancelFunc
+	attemptStart  time.Time
+	headAt        time.Time // when the headers of the last response arrived
 	// detachSender keeps the attempt of a streamed body from ending with the sender's connection. It
 	// returns false if the connection has ended.
 	detachSender func() bool
@@ -125,6 +128,7 @@
 // attempt makes one attempt and reports whether the control loop will send a further
 // verdict.
 func (x *exchange) attempt(v core.Verdict) bool {
+	x.attemptStart = x.Clock.Now()
 	ctx, cancel := x.newAttemptContext(v)
 	x.cancelAttempt = cancel
 	res, sent, err := x.send(ctx, v) //nolint:bodyclose // discardResponse or writeResponse closes it
@@ -132,11 +136,11 @@
 		x.reportFailure(ctx, sent, err)
 		return true
 	}
-	x.response = res
+	x.response, x.headAt = res, x.Clock.Now()
 	if v.Action == core.ActionForward {
 		if why, ran, refused := node.ParseRefusal(res.Header); refused {
 			o := node.ExtractOutcome(res.Header)
-			x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseRejected, Executed: ran, Reason: why, Level: o.Level, UnspentRetries: o.UnspentRetries, Load: node.GetTargetLoad(res.Header)})
+			x.call.ReportFailure(core.AttemptFailed{Cause: core.CauseRejected, Executed: ran, Reason: why, Level: o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header)})
 			return true
 		}
 	}
@@ -153,7 +157,9 @@
 	if x.verdict.Action != core.ActionRun {
 		return core.TargetReport{}
 	}
-	return x.Dialect.ParseTargetReport(res)
+	r := x.Dialect.ParseTargetReport(res)
+	r.Load.At = x.headAt
+	return r
 }
 
 // reportsRefusal reports whether a refusal by the target goes to the control loop instead
@@ -286,6 +292,7 @@
 	x.closeAfterUpload()
 	if x.origin == core.FromNode {
 		node.SetTargetLoad(x.w.Header(), x.verdict.Inputs)
+		node.SetWork(x.w.Header(), core.Work{Work: x.Loop.Work(), Took: x.headAt.Sub(x.attemptStart)})
 	}
 	for name := range res.Trailer {
 		x.w.Header().Add("Trailer", name)
@@ -306,7 +313,7 @@
 		Complete:   err == nil,
 		Failed:     res.StatusCode >= http.StatusInternalServerError,
 		Overloaded: res.StatusCode == http.StatusServiceUnavailable,
-		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: node.GetTargetLoad(res.Header),
+		Level:      o.Level, UnspentRetries: o.UnspentRetries, Load: x.targetLoad(res.Header),
 		Report: x.targetReport(res),
 	})
 	if err != nil {
@@ -316,6 +323,13 @@
 	x.sendOutcome()
 }
 
+// targetLoad returns the load that the last response carries.
+func (x *exchange) targetLoad(h http.Header) core.TargetLoad {
+	load := node.GetTargetLoad(h)
+	load.Work.At = x.headAt
+	return load
+}
+
 // implicitHeaders are the headers that net/http adds to a response that lacks them.
 var implicitHeaders = []string{"Content-Type", "Date"}
 
