--- a/core/placement.go
+++ b/core/placement.go
@@ -61,6 +61,9 @@
 		costs = cost.NewEstimator()
 		s.placement.sentCosts[c.service] = costs
 	}
+	if w.Took > 0 {
+		c.endpoint.RecordTransit(now, instantOf(now, w.At).Sub(c.attemptStart)-w.Took)
+	}
 	if w.Took > 0 && w.ServiceTime > 0 {
 		costs.Observe(now, c.route, w.Took, float64(w.ServiceTime)/float64(sentUnit))
 	}
@@ -74,9 +77,11 @@
 }
 
 // recordTargetReport applies a report of the local target. The calls at the target are counted
-// here, as it can be reached through this node only, so that only the slowness is used.
+// here, as it can be reached through this node only, so that only the slowness is used. A target
+// that does not report it has its VM to itself: its work is not published, as the choice by
+// latency and load serves more callers there (docs/design/placement.md).
 func (s *State) recordTargetReport(now time.Time, r LoadReport) {
-	if !r.Known {
+	if !r.Known || r.Slowness == 0 {
 		return
 	}
 	at := instantOf(now, r.At)
--- a/core/route/completion.go
+++ b/core/route/completion.go
@@ -51,6 +51,27 @@
 
 	failureRisk float64 // moving average of failed answers
 	failureAt   time.Time
+
+	transit   float64 // moving average of the time of a call beyond its service time, in nanoseconds
+	transitAt time.Time
+}
+
+// transitHalfLife is the time after which a measured transit time counts half. A link that was
+// slow is tried again.
+const transitHalfLife = 2 * time.Second
+
+// RecordTransit records how much longer than its service time a call to the endpoint took: the
+// way there and back, and its wait.
+func (e *Endpoint) RecordTransit(now time.Time, d time.Duration) {
+	transit := e.transitTime(now)
+	e.transit, e.transitAt = transit+latencySmoothing*(float64(max(0, d))-transit), now
+}
+
+func (e *Endpoint) transitTime(now time.Time) float64 {
+	if e.transit == 0 {
+		return 0
+	}
+	return e.transit * math.Exp2(-float64(now.Sub(e.transitAt))/float64(transitHalfLife))
 }
 
 // SetWork records what the endpoint's node has published, unless a newer number is known.
@@ -108,10 +129,13 @@
 // completion returns the expected completion time as seen from this node's domain.
 func (t *Table) completion(now time.Time, e *Endpoint, cost float64) (float64, bool) {
 	c, ok := e.completion(now, cost)
-	if ok && e.Domain != t.domain {
-		c = c*crossDomainMargin + float64(crossDomainRoundTrip)
+	if !ok {
+		return 0, false
+	}
+	if e.Domain != t.domain {
+		return c*crossDomainMargin + max(float64(crossDomainRoundTrip), e.transitTime(now)), true
 	}
-	return c, ok
+	return c + e.transitTime(now), true
 }
 
 // PickByCompletion chooses the endpoint at which a call would complete first, among a few
--- a/core/route/completion_test.go
+++ b/core/route/completion_test.go
@@ -201,3 +201,31 @@
 		t.Errorf("the cold endpoint gets a share of %.2f, want about 0.1", got)
 	}
 }
+
+// TestSlowLinkIsAvoided guards against calls that go on to an endpoint behind a slow link: its
+// node publishes the work there and knows nothing of the way.
+func TestSlowLinkIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable("self", "a")
+	for _, name := range []string{"slow", "other"} {
+		table.Put(now.Add(-time.Minute), Endpoint{Name: name, Service: "s", Domain: "a", Slots: 100}, false)
+	}
+	slow, other := table.Find("s", "slow"), table.Find("s", "other")
+	publish := func(at time.Time) {
+		slow.SetWork(at, Work{UnitTime: 50 * time.Millisecond, ServiceTime: 50 * time.Millisecond})
+		other.SetWork(at, Work{UnitTime: 60 * time.Millisecond, ServiceTime: 60 * time.Millisecond})
+	}
+	publish(now)
+	if e := table.PickByCompletion(now, "s", 1, 1, nil); e != slow {
+		t.Fatalf("got %s, want the endpoint that completes sooner", e.Name)
+	}
+	slow.RecordTransit(now, 300*time.Millisecond)
+	if e := table.PickByCompletion(now, "s", 1, 1, nil); e != other {
+		t.Errorf("got %s, want the endpoint that is not behind a slow link", e.Name)
+	}
+	later := now.Add(5 * transitHalfLife)
+	publish(later)
+	if e := table.PickByCompletion(later, "s", 1, 1, nil); e != slow {
+		t.Errorf("got %s, want the endpoint behind the link to be tried again", e.Name)
+	}
+}
