--- a/core/call.go
+++ b/core/call.go
@@ -56,7 +56,9 @@
 	lentRetries       int      // retry budget passed to the node it was forwarded to
 	attemptStart      time.Time
 	executed          Executed
-	level             admit.Level // highest admission level reported downstream
+	cost              time.Duration // estimated for the local target
+	startSlowness     float64       // of the local target, 0 if unknown
+	level             admit.Level   // highest admission level reported downstream
 
 	childCalls        []plan.ChildCalls // calls that the target made on its behalf
 	openChildren      int               // child calls that have not ended
@@ -131,7 +133,8 @@
 	stats := s.gate.Stats()
 	v.Inputs = VerdictInputs{
 		Workspace: c.workspace, ManifestVersion: s.manifestVersion(), ManifestAge: now.Sub(s.manifestConfirmedAt), Remaining: c.deadline.Sub(now),
-		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(), ColdFor: s.warmup.target.Remaining(now),
+		Attempt: c.attempts, Running: stats.Running, Queued: stats.Queued, Load: stats.LoadRatio(),
+		Work: s.effects.Work, ColdFor: s.warmup.target.Remaining(now),
 	}
 	s.effects.Verdicts = append(s.effects.Verdicts, v)
 }
--- a/core/membership.go
+++ b/core/membership.go
@@ -66,6 +66,7 @@
 	}
 	s.rejectHeldBack(now)
 	s.admitQueued(now)
+	s.publishWork(now)
 	if s.self.Draining && !s.target.closedByDrain && !now.Before(s.targetOpenUntil) {
 		s.closeTarget(now)
 	}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -61,6 +61,8 @@
 	coldUntil      time.Time     // end of the cold period, zero if none was announced
 	coldSetAt      time.Time     // when coldUntil was last set, or the call was sent whose response has set it
 	usualLatency   time.Duration // of the service's endpoints when the cold period was announced
+
+	published
 }
 
 // ready reports whether the endpoint can be given a call now.
@@ -74,11 +76,7 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	c := e.latencyFactor(now) * float64(latency)
-	if age := now.Sub(e.slowStartAt); age < slowStartDuration {
-		c /= max(minSlowStartShare, float64(age)/float64(slowStartDuration))
-	}
-	return c
+	return e.latencyFactor(now) * float64(latency) / e.slowStartShare(now)
 }
 
 // latencyFactor estimates the factor by which the endpoint's load raises the latency of one
@@ -104,6 +102,7 @@
 func (e *Endpoint) CallStarted() {
 	e.inFlight++
 	e.sentSinceLoad++
+	e.sent++
 }
 
 // CallAnswered records the end of a call that was answered after the given latency.
--- a/core/state.go
+++ b/core/state.go
@@ -83,6 +83,7 @@
 	warmup              warmupState
 
 	planning     planning
+	placement    placement
 	declines     declines
 	watch        watch
 	roles        roles
@@ -116,6 +117,7 @@
 		gate:               admit.NewGate(),
 		routes:             route.NewTable(settings.Self.Name, settings.Self.Domain),
 		levels:             route.NewLevels(),
+		placement:          newPlacement(),
 		retryBudgets:       retry.NewBudgetPool(),
 		dedup:              retry.NewDedupTable(),
 		peerClocks:         map[string]peerClock{},
@@ -173,6 +175,9 @@
 	default:
 		s.handleStoreEvent(now, e)
 	}
+	if s.placement.changed {
+		s.publishWork(now)
+	}
 	return &s.effects
 }
 
@@ -221,6 +226,8 @@
 	OwnedShards     int
 	StoreReachable  bool
 	ManifestVersion uint64
+	Work            route.Work // published of the local target, see Effects
+	Slowness        float64    // of the local target, 1 if unknown
 	// ManifestConfirmedAt is the last time at which the active manifest was known to be
 	// the newest version.
 	ManifestConfirmedAt time.Time
@@ -246,6 +253,8 @@
 		OwnedShards:     s.shardOwner.ShardCount(),
 		StoreReachable:  s.storeReachable,
 		ManifestVersion: s.manifestVersion(),
+		Work:            s.effects.Work,
+		Slowness:        s.placement.slowness.Last(),
 
 		ManifestConfirmedAt: s.manifestConfirmedAt,
 		Evacuations:         s.evacuationStatus(),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -208,6 +208,10 @@
 	gauge(fmt.Sprintf("celeryshelf_declined_ratio{service=%q}", service), func(v core.Status) float64 { return v.DeclinedRatio })
 	gauge("celeryshelf_peers", func(v core.Status) float64 { return float64(len(v.Peers)) })
 	gauge("celeryshelf_shards", func(v core.Status) float64 { return float64(v.OwnedShards) })
+	// Both are 0 while the target does not report its load.
+	gauge("celeryshelf_target_unit_seconds", func(v core.Status) float64 { return v.Work.UnitTime.Seconds() })
+	gauge("celeryshelf_target_service_seconds", func(v core.Status) float64 { return v.Work.ServiceTime.Seconds() })
+	gauge("celeryshelf_target_slowness", func(v core.Status) float64 { return v.Slowness })
 	metrics.GetOrCreateGauge("celeryshelf_read_ahead_bytes", func() float64 { return float64(a.relay.BufferedBytes()) })
 	gauge("celeryshelf_manifest_confirmed_seconds", func(v core.Status) float64 {
 		return clock.BootTime{}.Now().Sub(v.ManifestConfirmedAt).Seconds()
--- a/io/node/header.go
+++ b/io/node/header.go
@@ -22,6 +22,7 @@
 	headerUnspentRetries = "Celery-Unspent"
 	headerLoad           = "Celery-Load" // running and queued calls as a percentage of the target's slots
 	headerCold           = "Celery-Cold" // milliseconds for which the target stays cold, absent if it is not
+	headerWork           = "Celery-Work" // unit time, service time and the call's own, see core.Work, in microseconds
 
 	// HeaderReason and HeaderExecuted state why a call was refused and whether it may
 	// have been executed.
@@ -170,7 +171,7 @@
 // malformed, the load is unknown.
 func GetTargetLoad(h http.Header) core.TargetLoad {
 	percent, err := strconv.ParseUint(h.Get(headerLoad), 10, 16)
-	l := core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100}
+	l := core.TargetLoad{Known: err == nil, Utilization: float64(percent) / 100, Work: getWork(h)}
 	if cold := h.Get(headerCold); cold != "" {
 		if ms, err := strconv.ParseUint(cold, 10, 32); err == nil {
 			l.ColdFor = time.Duration(ms) * time.Millisecond
