core, internal/settings: placement by completion is a setting, off by default

The setting placement chooses between completion and latency; without it nothing is published or chosen in another way.

--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -12,7 +12,7 @@
 // answered.
 func BenchmarkCallArrivedFinished(b *testing.B) {
 	now := time.Unix(1000, 0)
-	s := New(Settings{Self: testMember(0)})
+	s := New(Settings{Self: testMember(0), PlaceByCompletion: true})
 	m := testManifest(1e8, 200_000_000)
 	s.Step(now, &StoreReachability{Reachable: true})
 	s.Step(now, &LeaseHeld{Until: now.Add(time.Hour)})
--- a/core/event.go
+++ b/core/event.go
@@ -100,7 +100,7 @@
 	Waiting  int       // calls that wait in it
 	Slots    int       // calls that it can run concurrently
 	At       time.Time // when the response's headers arrived
-	Slowness float64   // how long work takes at present, as a multiple of the usual, 0 if not reported
+	Slowness float64   // how long work takes at present, as a multiple of the usual, 1 if not reported
 }
 
 // AttemptFailed reports an attempt that failed before any part of its response was
--- a/core/placement.go
+++ b/core/placement.go
@@ -20,6 +20,7 @@
 // placement is the state of the choice of endpoints by cost and remaining work: the local
 // target's side, and the costs of the calls that this node sends, by service.
 type placement struct {
+	enabled    bool      // see Settings.PlaceByCompletion
 	reportedAt time.Time // last report of the local target, zero if there was none
 	costs      *cost.Estimator
 	slowness   cost.Slowness
@@ -28,8 +29,8 @@
 	changed    bool // the backlog has changed since the work was published
 }
 
-func newPlacement() placement {
-	return placement{costs: cost.NewEstimator(), sentCosts: map[string]*cost.Estimator{}}
+func newPlacement(enabled bool) placement {
+	return placement{enabled: enabled, costs: cost.NewEstimator(), sentCosts: map[string]*cost.Estimator{}}
 }
 
 // active reports whether the local target reports its load.
@@ -52,7 +53,7 @@
 // recordWork stores the work published with the end of a forwarded attempt, and what the call
 // has cost.
 func (s *State) recordWork(now time.Time, c *call, w Work) {
-	if w.UnitTime <= 0 || c.phase != phaseForwarded {
+	if !s.placement.enabled || w.UnitTime <= 0 || c.phase != phaseForwarded {
 		return
 	}
 	c.endpoint.SetWork(instantOf(now, w.At), w.Work)
@@ -77,11 +78,9 @@
 }
 
 // recordTargetReport applies a report of the local target. The calls at the target are counted
-// here, as it can be reached through this node only, so that only the slowness is used. A target
-// that does not report it has its VM to itself: its work is not published, as the choice by
-// latency and load serves more callers there (docs/design/placement.md).
+// here, as it can be reached through this node only, so that only the slowness is used.
 func (s *State) recordTargetReport(now time.Time, r LoadReport) {
-	if !r.Known || r.Slowness == 0 {
+	if !r.Known || !s.placement.enabled {
 		return
 	}
 	at := instantOf(now, r.At)
--- a/core/placement_test.go
+++ b/core/placement_test.go
@@ -9,7 +9,7 @@
 
 // placementNode returns the state of a node with two peers of its service.
 func placementNode(now time.Time) *State {
-	s := New(Settings{Self: testMember(0)})
+	s := New(Settings{Self: testMember(0), PlaceByCompletion: true})
 	for i := range 2 {
 		s.Step(now, &MemberStored{Member: testMember(i + 1)})
 	}
@@ -177,3 +177,14 @@
 		t.Errorf("the target with work waiting gets %d of 200 calls: %v", counts[slow.Name], counts)
 	}
 }
+
+// TestWorkIsNotPublishedUnlessSet guards against a changed choice where operators have not asked
+// for it.
+func TestWorkIsNotPublishedUnlessSet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := placementNode(now)
+	s.placement.enabled = false
+	if w := runLocal(t, s, now, 1, LoadReport{Known: true, Slots: 8, Slowness: 1}); w != (route.Work{}) {
+		t.Errorf("published %+v, want nothing", w)
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -41,6 +41,9 @@
 	// Evacuation is the time after which no call may reach the targets of an evacuated domain,
 	// 0 if domains cannot be evacuated.
 	Evacuation time.Duration
+	// PlaceByCompletion makes calls go to the endpoint at which they are expected to complete
+	// first, where targets report their load. Otherwise latency and load decide.
+	PlaceByCompletion bool
 	// WarmupBound bounds the calls that the local target receives while it is cold. The zero
 	// value sets no bound.
 	WarmupBound warmup.Bound
@@ -117,7 +120,7 @@
 		gate:               admit.NewGate(),
 		routes:             route.NewTable(settings.Self.Name, settings.Self.Domain),
 		levels:             route.NewLevels(),
-		placement:          newPlacement(),
+		placement:          newPlacement(settings.PlaceByCompletion),
 		retryBudgets:       retry.NewBudgetPool(),
 		dedup:              retry.NewDedupTable(),
 		peerClocks:         map[string]peerClock{},
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,6 +81,7 @@
 	ElectWatchers                     bool               // see core.Settings
 	RetryLimit                        retry.ServiceLimit // see core.Settings
 	Evacuation                        time.Duration      // see core.Settings
+	PlaceByCompletion                 bool               // see core.Settings
 	WarmupBound                       warmup.Bound       // see core.Settings
 	Logger                            *slog.Logger
 	Store                             store.Client
@@ -137,7 +138,7 @@
 	})
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
-			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation, WarmupBound: c.WarmupBound,
+			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation, PlaceByCompletion: c.PlaceByCompletion, WarmupBound: c.WarmupBound,
 		}),
 		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot,
 	})
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -38,6 +38,8 @@
 	// Evacuation is the time within which the targets of an evacuated domain must stop
 	// receiving calls, 0 if domains cannot be evacuated.
 	Evacuation manifest.Duration `json:"evacuation,omitzero"`
+	// Placement is how endpoints are chosen: PlaceByLatency or PlaceByCompletion.
+	Placement string `json:"placement,omitzero"`
 	// StopTimeout is the time from the request to stop until the process is killed.
 	StopTimeout manifest.Duration `json:"limit"`
 	MemoryMiB   int               `json:"memory"` // limit on the memory of the process
@@ -51,6 +53,12 @@
 	Log    Log            `json:"log"`
 }
 
+// Values of the setting Placement.
+const (
+	PlaceByLatency    = "latency"    // by measured latency and reported load, the default
+	PlaceByCompletion = "completion" // by expected completion, where targets report their load
+)
+
 // Defaults and least values of settings that may be left out.
 const (
 	defaultDescriptors = 4096
@@ -134,7 +142,7 @@
 			{Path: "/", Rule: fmt.Sprintf("document is larger than %d bytes", maxSidecarBytes)},
 		}}
 	}
-	s := Sidecar{Log: Log{Level: "info"}, Descriptors: defaultDescriptors, MaxHeadBytes: http1.DefaultMaxHeadBytes}
+	s := Sidecar{Log: Log{Level: "info"}, Placement: PlaceByLatency, Descriptors: defaultDescriptors, MaxHeadBytes: http1.DefaultMaxHeadBytes}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -156,6 +164,7 @@
 	MemoryMiB                     int
 	Descriptors, MaxHeadBytes     int
 	Evacuation                    time.Duration
+	Placement                     string
 }
 
 // Static returns the settings that only take effect on a restart.
@@ -163,7 +172,7 @@
 	return SidecarStatic{
 		Name: s.Name, Service: s.Service, Domain: s.Domain, Region: s.Region,
 		Listen: s.Listen, Advertise: s.Advertise, Target: s.Target, Store: s.Store, MemoryMiB: s.MemoryMiB,
-		Descriptors: s.Descriptors, MaxHeadBytes: s.MaxHeadBytes, Evacuation: s.Evacuation.Duration,
+		Descriptors: s.Descriptors, MaxHeadBytes: s.MaxHeadBytes, Evacuation: s.Evacuation.Duration, Placement: s.Placement,
 	}
 }
 
@@ -215,6 +224,9 @@
 			add(f.path, "must be greater than 0")
 		}
 	}
+	if s.Placement != PlaceByLatency && s.Placement != PlaceByCompletion {
+		add("/placement", "must be %s or %s", PlaceByLatency, PlaceByCompletion)
+	}
 	if s.Evacuation.Duration < 0 {
 		add("/evacuation", "must not be less than 0")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -90,7 +90,7 @@
 			NodeAddr: nodeAddr, ControlAddr: controlAddr,
 		},
 		NodeListenAddr: s.Listen.Node, ControlListenAddr: s.Listen.Control,
-		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, WarmupBound: warmupBound(s), Logger: log, Tracer: untraced{},
+		TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, MaxStaleness: maxStaleness(s), RetryLimit: retryLimit(s), Evacuation: s.Evacuation.Duration, PlaceByCompletion: s.Placement == settings.PlaceByCompletion, WarmupBound: warmupBound(s), Logger: log, Tracer: untraced{},
 		Store:    kv.NewClient(kv.Config{Address: s.Store.Address}),
 		Layout:   storeLayout(s),
 		LeaseTTL: s.Store.LeaseTTL.Duration, MemberLeaseTTL: time.Duration(memberLeaseFactor * float64(s.Store.LeaseTTL.Duration)),
