--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -17,7 +17,8 @@
 }
 
 // Limits bounds the requests of callers. With a size of 0, only the server's fixed
-// limit on headers holds. The timeouts are stored but not applied: the server's are fixed.
+// limit on headers holds. A node with a budget for its connections (celerynode) applies the
+// timeouts to callers; others have fixed ones.
 type Limits struct {
 	MaxHeaderBytes int      `json:"header,omitempty"`
 	MaxBodyBytes   int64    `json:"body,omitempty"`
