core: results of attempts are tracked only where placement uses them

With the setting placement at its default, each forwarded attempt still updated the endpoint's risk of failure, which only the choice by completion reads.

--- a/core/placement.go
+++ b/core/placement.go
@@ -72,7 +72,7 @@
 
 // recordResult adds the result of an attempt to the endpoint's risk of failure.
 func (s *State) recordResult(now time.Time, c *call, failed bool) {
-	if c.endpoint != nil && c.phase == phaseForwarded {
+	if s.placement.enabled && c.endpoint != nil && c.phase == phaseForwarded {
 		c.endpoint.RecordResult(now, failed)
 	}
 }
