--- a/core/route/completion.go
+++ b/core/route/completion.go
@@ -49,11 +49,29 @@
 	usualTime float64 // moving average of UnitTime, in nanoseconds
 	sent      int     // calls from this node since
 
-	failureRisk float64 // moving average of failed answers
-	failureAt   time.Time
+	failureRisk fadingAverage // of failed answers
+	transit     fadingAverage // of the time of a call beyond its service time, in nanoseconds
+}
+
+// fadingAverage is a moving average that returns to 0 without observations.
+type fadingAverage struct {
+	last float64
+	at   time.Time
+}
+
+// value returns the average after the time since the last observation, of which halfLife halves
+// it.
+func (a *fadingAverage) value(now time.Time, halfLife time.Duration) float64 {
+	if a.last == 0 {
+		return 0
+	}
+	return a.last * math.Exp2(-float64(now.Sub(a.at))/float64(halfLife))
+}
 
-	transit   float64 // moving average of the time of a call beyond its service time, in nanoseconds
-	transitAt time.Time
+// observe adds an observation with the given weight.
+func (a *fadingAverage) observe(now time.Time, halfLife time.Duration, x, weight float64) {
+	v := a.value(now, halfLife)
+	a.last, a.at = v+weight*(x-v), now
 }
 
 // transitHalfLife is the time after which a measured transit time counts half. A link that was
@@ -63,16 +81,10 @@
 // RecordTransit records how much longer than its service time a call to the endpoint took: the
 // way there and back, and its wait.
 func (e *Endpoint) RecordTransit(now time.Time, d time.Duration) {
-	transit := e.transitTime(now)
-	e.transit, e.transitAt = transit+latencySmoothing*(float64(max(0, d))-transit), now
+	e.transit.observe(now, transitHalfLife, float64(max(0, d)), latencySmoothing)
 }
 
-func (e *Endpoint) transitTime(now time.Time) float64 {
-	if e.transit == 0 {
-		return 0
-	}
-	return e.transit * math.Exp2(-float64(now.Sub(e.transitAt))/float64(transitHalfLife))
-}
+func (e *Endpoint) transitTime(now time.Time) float64 { return e.transit.value(now, transitHalfLife) }
 
 // SetWork records what the endpoint's node has published, unless a newer number is known.
 func (e *Endpoint) SetWork(now time.Time, w Work) {
@@ -92,16 +104,10 @@
 	if failed {
 		result = 1
 	}
-	risk := e.risk(now)
-	e.failureRisk, e.failureAt = risk+failureWeight*(result-risk), now
+	e.failureRisk.observe(now, failureHalfLife, result, failureWeight)
 }
 
-func (e *Endpoint) risk(now time.Time) float64 {
-	if e.failureRisk == 0 {
-		return 0
-	}
-	return e.failureRisk * math.Exp2(-float64(now.Sub(e.failureAt))/float64(failureHalfLife))
-}
+func (e *Endpoint) risk(now time.Time) float64 { return e.failureRisk.value(now, failureHalfLife) }
 
 // completion estimates the time until a call would be answered, in nanoseconds, whose cost is
 // the given multiple of the unit. ok is false without a recent published number.
