review: requests with long paths make a node hang

Found by reading core/manifest: each prefix of a path that ends with a slash is hashed as a whole. The cases of silent connections and of slow readers are now review/9 and review/10.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." && exec target/review-2/rig slow review/10
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -13,6 +13,7 @@
 	"unframed": runUnframed,
 	"slow":     runSlow,
 	"head":     runHead,
+	"slashes":  runSlashes,
 	"line":     runLine,
 }
 
--- a/review/harness-2/rig.go
+++ b/review/harness-2/rig.go
@@ -206,6 +206,7 @@
 type nodeConfig struct {
 	name, service, zone string
 	memoryMB            int
+	oneCore             bool // the machine has one core
 }
 
 // node is a celerynode process with the addresses of its machine.
@@ -253,6 +254,9 @@
 		abort("the deploy file has no run command")
 	}
 	words := strings.Fields(string(run[1]))
+	if n.config.oneCore {
+		defer onLastCore()()
+	}
 	n.process = n.rig.start(n.config.name, []string{"CELERYSHELF_NODE_FILE=" + n.settings}, filepath.Join(n.rig.root, words[0]), words[1:]...)
 }
 
