io/tcp: a reset that a write has seen is not the end of the bytes read

Cause: a long body is written while the response is read. Linux reports a reset once. If the write gets ECONNRESET, the read that follows returns no bytes and no error, which conn.Read passed on as io.EOF, the end of a response of unknown length.

conn keeps the first error of its writes, under a mutex that is held during the system call, so that a read which finds no bytes sees the error of the write that consumed the reset. The read then fails with that error. EPIPE is left out: Linux uses it for a reset that arrives after the peer has ended its stream, whose bytes have then all been read. System calls do not block, so no read waits for a write.

--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -313,6 +313,33 @@
 	}
 }
 
+// TestEarlyResponseCutOffByAResetIsIncomplete guards against a response of unknown length that looks
+// complete although its target has reset the connection midway (review/6). The error of the
+// connection is reported once, here to the write of the request.
+func TestEarlyResponseCutOffByAResetIsIncomplete(t *testing.T) {
+	at := startServer(t, func(c net.Conn) {
+		if readHead(c) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart"))
+			time.Sleep(20 * time.Millisecond) // let the request fill the buffers
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	req, err := http.NewRequestWithContext(testContext(t), http.MethodPost, "http://target/x", strings.NewReader(strings.Repeat("b", 16<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Request-Id", "a")
+	res, err := NewClient(Config{Address: at, Verifier: requestIDVerifier{}}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	<-res.Body.(*responseBody).RequestWritten() // it has failed
+	if got, err := io.ReadAll(res.Body); err == nil {
+		t.Errorf("got %q as a complete response", got)
+	}
+}
+
 // TestCancelledRequestWithUnreadBytesIsSeenAtOnce guards against a cancelled request whose end its
 // peer does not see, because bytes before it have not been read (review/5).
 func TestCancelledRequestWithUnreadBytesIsSeenAtOnce(t *testing.T) {
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -32,6 +32,24 @@
 	done    int
 	errno   syscall.Errno
 	attempt func(fd uintptr) bool
+	failure failure // of the system calls of a write
+}
+
+// failure is the first error of the system calls of a transfer.
+type failure struct {
+	mu    sync.Mutex // held during each system call, so that its error is seen with its effect
+	errno syscall.Errno
+}
+
+// brokeOff returns the error with which the connection broke off before the peer had ended the
+// bytes that it sends, or 0. Once the peer has ended them, Linux reports a reset as EPIPE.
+func (f *failure) brokeOff() syscall.Errno {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.errno == syscall.EPIPE {
+		return 0
+	}
+	return f.errno
 }
 
 // newConn wraps a connection, or returns it as it is if its descriptor cannot be used.
@@ -46,10 +64,15 @@
 	return out
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It returns io.EOF only if the peer has ended its stream. The
+// kernel reports a reset once: if a write has got the error, a read returns no bytes and no
+// error, as at the end of the stream.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.run(&c.read, p)
 	if n == 0 && err == nil && len(p) > 0 {
+		if errno := c.write.failure.brokeOff(); errno != 0 {
+			return 0, c.wrap(c.read.op, os.NewSyscallError(c.read.op, errno))
+		}
 		return 0, io.EOF
 	}
 	return n, err
@@ -98,6 +121,8 @@
 // tryWrite writes as much as the socket takes and reports whether the write is complete,
 // successfully or not.
 func (t *transfer) tryWrite(fd uintptr) bool {
+	t.failure.mu.Lock()
+	defer t.failure.mu.Unlock()
 	for t.done < len(t.buffer) {
 		rest := t.buffer[t.done:]
 		n, _, errno := syscall.RawSyscall(syscall.SYS_WRITE, fd, uintptr(unsafe.Pointer(unsafe.SliceData(rest))), uintptr(len(rest)))
@@ -109,6 +134,9 @@
 			return false
 		default:
 			t.errno = errno
+			if t.failure.errno == 0 {
+				t.failure.errno = errno
+			}
 			return true
 		}
 	}
