io/http1: a response with a space in a field name is no response

Callers got a response in whose head the name of a field held a space, without that line, and with another body if the line was to frame it: "Content-Length : 4" and "Transfer-Encoding : chunked" left a body that ends with its connection, of 10 bytes instead of 4, or with the chunk sizes in it.

Cause: net/textproto accepts a space in a name, and net/http knows the field by another name when it determines where the body ends. It rejects every other byte that is no part of a token.

readFinalResponse now checks the names of each head, those of interim responses too, and returns ErrInvalidField: the caller gets 502, or another attempt if the call may be repeated.

Evidence: TestBrokenHeadsAreNoResponses sends 21 malformed heads through one and two nodes. Before, 4 of them reached the caller with status 200: a space in a name, before the colon of Content-Length and of Transfer-Encoding, and in an interim response. The others already got 502: status 000, 099, 600 and other invalid codes, control bytes in names and values, a line without a name or a colon, conflicting lengths. FuzzReadResponse checks names and values; its new seed failed before, 20 s of fuzzing found nothing since.

TestCutHeadsAreNoResponses ends heads after each of their bytes, by a close and by a reset. It passed before: a cut head is answered with 502.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -93,3 +94,85 @@
 	size, err = io.Copy(io.Discard, res.Body)
 	return res.StatusCode, size, err
 }
+
+// get sends a request without a body to a node and reads the response.
+func get(t *testing.T, n *testNode) (status int, size int64, err error) {
+	c := dial(t, n.caller)
+	if _, err := io.WriteString(c, "GET /order HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	return readResponse(c)
+}
+
+// brokenHeads are heads of responses that no caller may get as an answer. Each is followed by the
+// body "whole body", after which the target closes the connection.
+var brokenHeads = []struct{ name, head string }{
+	{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"status 099", "HTTP/1.1 099 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"status 600", "HTTP/1.1 600 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"status with a sign", "HTTP/1.1 +20 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"space in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 10\r\n\r\n"},
+	{"space before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n"},
+	{"space before the colon of the encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"},
+	{"space before the first name", "HTTP/1.1 200 OK\r\n X: z\r\nContent-Length: 10\r\n\r\n"},
+	{"tab before the colon", "HTTP/1.1 200 OK\r\nX\t: y\r\nContent-Length: 10\r\n\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 10\r\n\r\n"},
+	{"NUL in a name", "HTTP/1.1 200 OK\r\nContent-Length\x00: 4\r\n\r\n"},
+	{"DEL in a name", "HTTP/1.1 200 OK\r\nX\x7f: z\r\nContent-Length: 10\r\n\r\n"},
+	{"carriage return in a name", "HTTP/1.1 200 OK\r\nX\rY: z\r\nContent-Length: 10\r\n\r\n"},
+	{"byte over 127 in a name", "HTTP/1.1 200 OK\r\nX\xe9: z\r\nContent-Length: 10\r\n\r\n"},
+	{"no name", "HTTP/1.1 200 OK\r\n: z\r\nContent-Length: 10\r\n\r\n"},
+	{"no colon", "HTTP/1.1 200 OK\r\nX\r\nContent-Length: 10\r\n\r\n"},
+	{"control byte in a value", "HTTP/1.1 200 OK\r\nX: y\x01z\r\nContent-Length: 10\r\n\r\n"},
+	{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 10\r\n\r\n"},
+	{"length with a sign", "HTTP/1.1 200 OK\r\nContent-Length: +10\r\n\r\n"},
+	{"interim response with a space in a name", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"},
+}
+
+// TestBrokenHeadsAreNoResponses guards against a malformed response that reaches the caller, also
+// with a line left out or with a body that is not the target's.
+func TestBrokenHeadsAreNoResponses(t *testing.T) {
+	for _, tt := range brokenHeads {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			target := startRawTarget(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, tt.head+"whole body") })
+			front, back := startNodes(t, target, 8)
+			for _, entry := range []*testNode{front, back} {
+				if status, size, err := get(t, entry); err != nil || status != http.StatusBadGateway {
+					t.Errorf("got status %d and %d bytes with error %v, want status %d", status, size, err, http.StatusBadGateway)
+				}
+			}
+		})
+	}
+}
+
+// TestCutHeadsAreNoResponses guards against a head that ends in the middle and reaches the caller
+// as a response with an empty or a short body. The target closes or resets the connection.
+func TestCutHeadsAreNoResponses(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, reset %t", head, reset), func(t *testing.T) {
+				t.Parallel()
+				var size atomic.Int64
+				target := startRawTarget(t, func(c *net.TCPConn) {
+					_, _ = io.WriteString(c, head[:size.Load()])
+					if reset {
+						_ = c.SetLinger(0)
+					}
+				})
+				_, back := startNodes(t, target, 8)
+				for i := range len(head) {
+					size.Store(int64(i))
+					if status, size, err := get(t, back); err != nil || status != http.StatusBadGateway {
+						t.Errorf("head cut after %q: got status %d and %d bytes with error %v, want status %d", head[:i], status, size, err, http.StatusBadGateway)
+					}
+				}
+			})
+		}
+	}
+}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -202,7 +202,11 @@
 			return nil, err
 		case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
-		case res.StatusCode >= http.StatusOK:
+		}
+		if err := CheckFields(res.Header); err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
 	}
--- a/io/http1/fuzz_test.go
+++ b/io/http1/fuzz_test.go
@@ -6,16 +6,19 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"testing"
 )
 
 // FuzzReadResponse reads a response from arbitrary bytes. It must not panic, read on after
-// the limit, or return a status that cannot be passed on.
+// the limit, or return a status or a field that cannot be passed on.
 func FuzzReadResponse(f *testing.F) {
 	for _, seed := range []string{
 		"", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
 		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 +20 OK\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nA: b\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "junk\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nX\x01: y\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -34,6 +37,11 @@
 			t.Errorf("returned status %d", res.StatusCode)
 		}
 		defer func() { _ = res.Body.Close() }()
+		for name, values := range res.Header {
+			if !validName.MatchString(name) || slices.ContainsFunc(values, func(v string) bool { return controlByte.MatchString(v) }) {
+				t.Errorf("returned the field %q with values %q", name, values)
+			}
+		}
 		if held, bound := headerBytes(res.Header), fieldBytes*(c.MaxHeadBytes+conn.reader.Size()); held > bound {
 			t.Errorf("the headers hold %d bytes, more than %d", held, bound)
 		}
@@ -47,6 +55,12 @@
 	})
 }
 
+// validName is a token (RFC 9110, section 5.6.2), controlByte a byte that no value may have.
+var (
+	validName   = regexp.MustCompile("^[-!#$%&'*+.^_`|~0-9A-Za-z]+$")
+	controlByte = regexp.MustCompile(`[\x00-\x08\x0a-\x1f\x7f]`)
+)
+
 // fieldBytes is the memory of a header field beside its text: a map entry, a slice and strings.
 const fieldBytes = 112
 
