io/http1: a response with a folded line is no response

Callers got a response in whose head a name followed a space or a tab, with the line added to the value of the field before it: a response with "X: y" and " Content-Length: 4" reached them with "X: y Content-Length: 4" and a body that ends with its connection.

Cause: net/textproto joins a line that begins with white space to the one before, the obsolete line folding of RFC 9112, section 5.2. The parsed head no longer shows it.

While a head is parsed, foldDetector scans the bytes as they are read and those that are in the buffer already, and the response is rejected with ErrInvalidField. The RFC allows a proxy to reject or to join such lines; joined, a misplaced space changes the field before.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -196,14 +196,8 @@
 	conn.source.limit(c.MaxHeadBytes + conn.reader.Size())
 	defer conn.source.unlimit()
 	for range maxInterimResponses + 1 {
-		res, err := http.ReadResponse(conn.reader, req)
-		switch {
-		case err != nil:
-			return nil, err
-		case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
-			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
-		}
-		if err := CheckFields(res.Header); err != nil {
+		res, err := readResponseHead(conn, req)
+		if err != nil {
 			return nil, err
 		}
 		if res.StatusCode >= http.StatusOK {
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -50,11 +50,12 @@
 	position      *list.Element // of an idle connection in its ConnLimit
 }
 
-// limitedReader limits the bytes that are read while a response head is parsed.
+// limitedReader limits and scans the bytes that are read while a response head is parsed.
 type limitedReader struct {
 	io.Reader
 	limited   bool
 	remaining int // bytes that may still be read while limited is set
+	folds     foldDetector
 }
 
 func (r *limitedReader) limit(n int) { r.limited, r.remaining = true, n }
@@ -71,6 +72,7 @@
 	}
 	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.folds.scan(p[:n])
 	return n, err
 }
 
--- a/io/http1/fuzz_test.go
+++ b/io/http1/fuzz_test.go
@@ -18,7 +18,7 @@
 		"", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
 		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 +20 OK\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nA: b\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "junk\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nX\x01: y\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nX\x01: y\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n Z: z\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
