io/http1: a response of another major version of HTTP is no response

Callers got a response whose status line named HTTP/2.0 or HTTP/0.9. net/http.ReadResponse parses any version of two digits; HTTP/1.1 is all that this client speaks, and what follows another version is framed by other rules. HTTP/1.0 is accepted as before.

Evidence: the rows "version 2.0" and "version 0.9" of TestBrokenHeadsAreNoResponses failed before, with status 200.

--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -11,6 +11,9 @@
 // ErrInvalidField reports a line in the head of a response that is no field of HTTP/1.1.
 var ErrInvalidField = errors.New("invalid header field")
 
+// ErrInvalidVersion reports a response of another major version of HTTP.
+var ErrInvalidVersion = errors.New("invalid HTTP version")
+
 // readResponseHead reads and checks the head of a response.
 func readResponseHead(conn *connection, req *http.Request) (*http.Response, error) {
 	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
@@ -22,6 +25,8 @@
 		return nil, err
 	case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
 		return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
+	case res.ProtoMajor != 1:
+		return nil, fmt.Errorf("%w: %q", ErrInvalidVersion, res.Proto)
 	case conn.source.folds.found:
 		return nil, fmt.Errorf("%w: line begins with white space", ErrInvalidField)
 	}
