io/http1: chunks in a response of HTTP/1.0 are no body

Callers got the chunk sizes as a part of the body: a target sent "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked", and the response reached them with status 200 and the raw chunks.

Cause: net/http removes the field from a response of HTTP/1.0 and ignores it. RFC 9112, section 6.1, has such a message treated as one with faulty framing. The parsed head does not show it, so that headScanner, until now foldDetector, also looks for the field.

Evidence: the row "chunks in HTTP/1.0" of TestBrokenHeadsAreNoResponses failed before.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -117,6 +117,7 @@
 	{"version without digits", "HTTP/a.b 200 OK\r\nContent-Length: 10\r\n\r\n"},
 	{"no version", "200 OK\r\nContent-Length: 10\r\n\r\n"},
 	{"space before the status line", " HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
 	{"unknown encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"},
 	{"space in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 10\r\n\r\n"},
 	{"space before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n"},
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -55,7 +55,7 @@
 	io.Reader
 	limited   bool
 	remaining int // bytes that may still be read while limited is set
-	folds     foldDetector
+	scanner   headScanner
 }
 
 func (r *limitedReader) limit(n int) { r.limited, r.remaining = true, n }
@@ -72,7 +72,7 @@
 	}
 	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
-	r.folds.scan(p[:n])
+	r.scanner.scan(p[:n])
 	return n, err
 }
 
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -17,8 +17,9 @@
 // readResponseHead reads and checks the head of a response.
 func readResponseHead(conn *connection, req *http.Request) (*http.Response, error) {
 	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
-	conn.source.folds = foldDetector{}
-	conn.source.folds.scan(buffered)
+	scanner := &conn.source.scanner
+	*scanner = headScanner{}
+	scanner.scan(buffered)
 	res, err := http.ReadResponse(conn.reader, req)
 	switch {
 	case err != nil:
@@ -27,8 +28,10 @@
 		return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
 	case res.ProtoMajor != 1:
 		return nil, fmt.Errorf("%w: %q", ErrInvalidVersion, res.Proto)
-	case conn.source.folds.found:
+	case scanner.folded:
 		return nil, fmt.Errorf("%w: line begins with white space", ErrInvalidField)
+	case scanner.encoded && !res.ProtoAtLeast(1, 1):
+		return nil, fmt.Errorf("%w: Transfer-Encoding in %s", ErrInvalidField, res.Proto)
 	}
 	if err := CheckFields(res.Header); err != nil {
 		return nil, err
@@ -48,33 +51,57 @@
 	return nil
 }
 
-// foldDetector detects lines in a head that begin with white space. net/http adds such a line to
-// the value of the field before it. As a name that follows a space by mistake looks the same, the
-// response is rejected, which a proxy may do (RFC 9112, section 5.2).
-type foldDetector struct {
+// encodingField begins the line of a Transfer-Encoding field, in lower case.
+const encodingField = "transfer-encoding:"
+
+// headScanner detects in the bytes of a head what the parsed head does not show.
+type headScanner struct {
+	// folded is set if a line begins with white space. net/http adds such a line to the value of
+	// the field before it. As a name that follows a space by mistake looks the same, the response
+	// is rejected, which a proxy may do (RFC 9112, section 5.2).
+	folded bool
+	// encoded is set if there is a Transfer-Encoding field. net/http ignores it in HTTP/1.0, where
+	// it makes the framing faulty (RFC 9112, section 6.1).
+	encoded bool
+
 	lineStart bool // the next byte begins a line after the first one
+	matched   int  // bytes of encodingField with which the line begins, -1 if it differs
 	ended     bool // the head is complete
-	found     bool
 }
 
 // scan continues with the next bytes. It ignores those after the end of the head.
-func (d *foldDetector) scan(p []byte) {
-	for len(p) > 0 && !d.ended {
-		if d.lineStart {
+func (s *headScanner) scan(p []byte) {
+	for len(p) > 0 && !s.ended {
+		if s.lineStart {
+			s.matched = 0
 			switch p[0] {
 			case '\r': // of an empty line
 				p = p[1:]
 				continue
 			case '\n':
-				d.ended = true
+				s.ended = true
 			case ' ', '\t':
-				d.found = true
+				s.folded = true
 			}
 		}
+		s.matchEncoding(p)
 		end := bytes.IndexByte(p, '\n')
-		if d.lineStart = end >= 0; !d.lineStart {
+		if s.lineStart = end >= 0; !s.lineStart {
 			return
 		}
 		p = p[end+1:]
 	}
 }
+
+// matchEncoding compares the next bytes of a line with encodingField.
+func (s *headScanner) matchEncoding(p []byte) {
+	for i := 0; i < len(p) && s.matched >= 0 && s.matched < len(encodingField); i++ {
+		const lowerCase = 0x20
+		if p[i]|lowerCase != encodingField[s.matched] {
+			s.matched = -1
+			return
+		}
+		s.matched++
+	}
+	s.encoded = s.encoded || s.matched == len(encodingField)
+}
