io/node: a status outside the classes of HTTP is no response over HTTP/2 either

The HTTP/2 transport between nodes returned responses with status 000, 020, 099, 600 and 999. No caller has been seen to get one: a node takes such a status from no target. A broken peer could send one, and the node would have ended the caller's connection in a panic of net/http below 100, and have passed it on above 599.

The check of io/http1 is now CheckStatus, which both transports use.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -19,9 +19,6 @@
 // it, exceeds Config.MaxHeadBytes.
 var ErrHeadTooLarge = errors.New("response head is too large")
 
-// ErrInvalidStatus reports a status code that no HTTP/1.1 response to the request can have.
-var ErrInvalidStatus = errors.New("invalid status code")
-
 // ErrResponseMismatch reports that a response belongs to an earlier request on the
 // connection. The response to the current request may follow it.
 var ErrResponseMismatch = errors.New("response belongs to another request")
@@ -37,8 +34,6 @@
 	// maxInterimResponses is the number of interim (1xx) responses that may precede a
 	// response.
 	maxInterimResponses = 8
-	minStatus           = 100
-	maxStatus           = 599
 )
 
 // ResponseVerifier checks that a response belongs to its request. It returns an error
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -8,6 +8,14 @@
 	"strings"
 )
 
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// ErrInvalidStatus reports a status code that no response to the request can have.
+var ErrInvalidStatus = errors.New("invalid status code")
+
 // ErrInvalidField reports a line in the head of a response that is no field of HTTP/1.1.
 var ErrInvalidField = errors.New("invalid header field")
 
@@ -21,11 +29,13 @@
 	*scanner = headScanner{}
 	scanner.scan(buffered)
 	res, err := http.ReadResponse(conn.reader, req)
-	switch {
-	case err != nil:
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(res.StatusCode); err != nil {
 		return nil, err
-	case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
-		return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, res.StatusCode)
+	}
+	switch {
 	case res.ProtoMajor != 1:
 		return nil, fmt.Errorf("%w: %q", ErrInvalidVersion, res.Proto)
 	case scanner.folded:
@@ -39,6 +49,15 @@
 	return res, nil
 }
 
+// CheckStatus returns an error that wraps ErrInvalidStatus if a status code is outside the classes of
+// HTTP, which net/http does not check, or switches protocols, which no request asks for.
+func CheckStatus(code int) error {
+	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: %d", ErrInvalidStatus, code)
+	}
+	return nil
+}
+
 // CheckFields returns an error that wraps ErrInvalidField if the name of a field holds a space.
 // net/http accepts it as the name of another field, so that the line does not frame the body. It
 // rejects every other byte that a name must not have.
--- a/io/node/transport.go
+++ b/io/node/transport.go
@@ -62,7 +62,14 @@
 	if err != nil && !connected.Load() {
 		return nil, fmt.Errorf("%w: %w", http1.ErrNotSent, err)
 	}
-	return res, err
+	if err != nil {
+		return nil, err
+	}
+	if err := http1.CheckStatus(res.StatusCode); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
+	return res, nil
 }
 
 // HTTP1Transport sends requests to other nodes over HTTP/1.1. It uses less CPU time than
