internal/standin: a server that responds with raw bytes

The test of broken responses in internal/relay had it to itself; those of the clients of the stores need the same.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -12,30 +12,18 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"celeryshelf/internal/standin"
 )
 
-// startRawTarget starts a target that handles each connection on which a request has arrived with
-// a function. The function gets the connection after the head of the request.
+// startRawTarget starts a target that responds to each request with bytes of its own.
 func startRawTarget(t *testing.T, respond func(c *net.TCPConn)) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
-					respond(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
+	go standin.ServeRaw(l, func(c *net.TCPConn, _ *http.Request) { respond(c) })
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
