io/etcd: a response with a space in a field name is an error

As in platform/kv: a value, or the absence of a key, was read from a response with a malformed head. The client now checks it with http1.CheckFields, and the next call goes to the next address.

Evidence: TestBrokenResponsesAreErrors, whose two rows with a space in a name failed before.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"celeryshelf/io/http1"
 	"celeryshelf/io/store"
 )
 
@@ -228,10 +229,14 @@
 		c.addressIndex.Add(1)
 		return nil, fmt.Errorf("call %s: %w", path, err)
 	}
+	err = http1.CheckFields(res.Header)
 	if res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("store returned status %s", res.Status)
+	}
+	if err != nil {
 		c.addressIndex.Add(1)
 		_ = res.Body.Close()
-		return nil, fmt.Errorf("call %s: store returned status %s", path, res.Status)
+		return nil, fmt.Errorf("call %s: %w", path, err)
 	}
 	return res, nil
 }
