internal/relay: a cut response to HTTP/1.0 ends with a reset

Callers of HTTP/1.0 got a part of a response that looked complete: such a response of unknown length ends with its connection, and the node ended the connection of a cut one in the ordinary way. Callers of HTTP/1.1 miss the last chunk and are not concerned.

A response that is cut now sets the connection of a caller of HTTP/1.0 to end with a reset.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -175,3 +175,35 @@
 		}
 	}
 }
+
+// TestCutResponseToHTTP10LooksIncomplete guards against a part of a response that reaches a caller
+// of HTTP/1.0 as a whole one: over HTTP/1.0 a response of unknown length ends with its connection.
+func TestCutResponseToHTTP10LooksIncomplete(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		complete   bool
+	}{
+		{"chunks", "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", true},
+		{"chunks, cut", "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+		{"length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\npart", true},
+		{"length, cut", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 100000\r\n\r\npart", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			target := startRawTarget(t, func(c *net.TCPConn) {
+				_, _ = io.WriteString(c, tt.text)
+				time.Sleep(50 * time.Millisecond) // the first part reaches the caller
+			})
+			front, back := startNodes(t, target, 8)
+			for _, entry := range []*testNode{front, back} {
+				c := dial(t, entry.caller)
+				if _, err := io.WriteString(c, "GET /order HTTP/1.0\r\nHost: a\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				status, size, err := readResponse(c)
+				if complete := err == nil && status == http.StatusOK; complete != tt.complete {
+					t.Errorf("got status %d and %d bytes with error %v, want a complete response: %t", status, size, err, tt.complete)
+				}
+			}
+		})
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -14,6 +14,7 @@
 	"celeryshelf/internal/control"
 	"celeryshelf/io/http1"
 	"celeryshelf/io/node"
+	"celeryshelf/io/tcp"
 )
 
 // exchange executes the verdicts on one call.
@@ -317,12 +318,21 @@
 		Report: x.targetReport(res),
 	})
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	x.awaitForwarding(res)
 	x.sendOutcome()
 }
 
+// abort ends the connection of the sender. A sender of HTTP/1.0 takes an ordinary end for the end
+// of a response of unknown length.
+func (x *exchange) abort() {
+	if !x.req.ProtoAtLeast(1, 1) {
+		tcp.ResetOnClose(x.req.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // targetLoad returns the load that the last response carries.
 func (x *exchange) targetLoad(h http.Header) core.TargetLoad {
 	load := node.GetTargetLoad(h)
