io/http1, internal/relay: tests of the end of a response in chunks

A response that breaks off in its trailers, or before the empty line that ends them, is incomplete, and a trailer whose name holds a space does not reach the caller. Both held before: net/http reads the trailers to their end and writes valid names only.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -207,3 +207,22 @@
 		})
 	}
 }
+
+// TestInvalidTrailersAreNotPassedOn guards against a malformed line after a body that reaches the
+// caller.
+func TestInvalidTrailersAreNotPassedOn(t *testing.T) {
+	target := startRawTarget(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nTrailer: Valid\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Y: z\r\nValid: a\r\n\r\n")
+	})
+	front, back := startNodes(t, target, 8)
+	for _, entry := range []*testNode{front, back} {
+		c := dial(t, entry.caller)
+		if _, err := io.WriteString(c, "GET /order HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(c)
+		if err != nil || !strings.Contains(string(text), "whole\r\n0\r\nValid: a\r\n\r\n") || strings.Contains(string(text), "X Y") {
+			t.Errorf("got %q with error %v, want the body and only the valid trailer", text, err)
+		}
+	}
+}
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -151,6 +151,9 @@
 	}{
 		{"shorter than Content-Length", head + "Content-Length: 9\r\n\r\nshort", false, false},
 		{"no final chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false, false},
+		{"no end of the trailers", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX: y\r\n", false, false},
+		{"no trailers and no end", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", false, false},
+		{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX: y\r\n\r\n", false, true},
 		{"no length, connection closed", head + "\r\nwhole", false, true},
 		{"no length, connection reset", head + "\r\ncut", true, false},
 		{"not HTTP", "nonsense\r\n\r\n", false, false},
