io/tcp, io/http1: one function makes a connection end with a reset

The cut response to HTTP/1.0 repeated what http1 does to cancel a request. tcp.ResetOnClose now takes a connection and serves both; ConnOf returns that of a context. Behaviour is unchanged.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -328,7 +328,7 @@
 // of a response of unknown length.
 func (x *exchange) abort() {
 	if !x.req.ProtoAtLeast(1, 1) {
-		tcp.ResetOnClose(x.req.Context())
+		tcp.ResetOnClose(tcp.ConnOf(x.req.Context()))
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -319,9 +319,7 @@
 // abort closes the connection with a reset. An ordinary end would follow the bytes that the peer
 // has not read yet, so that it would not learn that the request is cancelled.
 func (c *connection) abort() error {
-	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = t.SetLinger(0)
-	}
+	tcp.ResetOnClose(c.Conn)
 	return c.Close()
 }
 
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -175,13 +175,13 @@
 type connKey struct{}
 
 // WithConn returns a context that holds a connection. It is the ConnContext function of servers
-// whose handlers use PeerClosed or ResetOnClose.
+// whose handlers use PeerClosed or ConnOf.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connOf returns the connection that a context holds, or nil.
-func connOf(ctx context.Context) net.Conn {
+// ConnOf returns the connection that a context holds, without its wrapper of a listener, or nil.
+func ConnOf(ctx context.Context) net.Conn {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
 	if s, ok := c.(*serverConn); ok {
 		return s.Conn
@@ -189,18 +189,18 @@
 	return c
 }
 
-// ResetOnClose makes the connection that the context holds end with a reset once it is closed, so
-// that its peer does not take what it has received for complete.
-func ResetOnClose(ctx context.Context) {
-	if c, ok := connOf(ctx).(interface{ SetLinger(seconds int) error }); ok {
-		_ = c.SetLinger(0) // fails if the connection has ended
+// ResetOnClose makes a connection end with a reset once it is closed, whatever its peer has not
+// read yet. It does nothing for one that is no TCP connection.
+func ResetOnClose(c net.Conn) {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0) // fails if the connection has ended
 	}
 }
 
 // PeerClosed reports whether the peer of the connection that the context holds has closed it or
 // has shut down its sending side, also if bytes that it sent before are unread.
 func PeerClosed(ctx context.Context) bool {
-	s, ok := connOf(ctx).(syscall.Conn)
+	s, ok := ConnOf(ctx).(syscall.Conn)
 	if !ok {
 		return false
 	}
