internal/standin: the raw server opens its own listener

Three tests opened a listener, closed it and took its address in the same lines. StartRaw does so for them, and ends with its context.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -18,13 +18,11 @@
 
 // startRawTarget starts a target that responds to each request with bytes of its own.
 func startRawTarget(t *testing.T, respond func(c *net.TCPConn)) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := standin.StartRaw(t.Context(), func(c *net.TCPConn, _ *http.Request) { respond(c) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go standin.ServeRaw(l, func(c *net.TCPConn, _ *http.Request) { respond(c) })
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return at
 }
 
 // TestEarlyResponseWithoutLengthIsCompleteOnlyAtItsEnd guards against a part of a response that
--- a/io/etcd/broken_test.go
+++ b/io/etcd/broken_test.go
@@ -13,16 +13,14 @@
 
 // newRawStore returns a client of a store that responds to each call with the same text.
 func newRawStore(t *testing.T, text string) *Client {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go standin.ServeRaw(l, func(c *net.TCPConn, req *http.Request) {
+	at, err := standin.StartRaw(t.Context(), func(c *net.TCPConn, req *http.Request) {
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(c, text)
 	})
-	return NewClient(Config{Addresses: []netip.AddrPort{l.Addr().(*net.TCPAddr).AddrPort()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewClient(Config{Addresses: []netip.AddrPort{at}})
 }
 
 // TestBrokenResponsesAreErrors guards against a malformed or cut response of the store that counts
