io/tcp: keep connections whose peers read slowly

An endpoint that paused in reading an upload, and an upload that waited in a queue with more bytes than the nodes buffer, ended in the same way: their callers got 502.

TCP_USER_TIMEOUT, 1.5 s on all connections, also counts the time in which the peer's window is closed, whether or not the peer acknowledges the window probes.

Connections with unacknowledged output are now checked every 200 ms. The limit is raised while acknowledgements arrive, which also bounds the kernel's interval between probes, and a peer that leaves probes or retransmissions unacknowledged for 1.5 s is ended. As a peer that is alive no longer ends by itself, the time for writing a response ends with its call.

Before: TestSlowReaderGetsTheRest fails in all four rows, TestSlowCallerGetsTheRestOfAResponse in four, TestSlowTargetGetsTheRestOfAnUpload and TestQueuedUploadIsStillSent get 502. TestSilentPeerIsFound keeps the bound of 2 s, also after a window has been closed for 5 s.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -61,7 +61,7 @@
 	c.lentRetries = c.budget.Lend()
 	s.emitVerdict(now, c, Verdict{
 		Action: ActionForward, Endpoint: c.endpoint.Name, Address: c.endpoint.NodeAddr,
-		Deadline: c.deadline, AttemptEnd: s.endOfAttempt(c),
+		AttemptEnd: s.endOfAttempt(c),
 		Context: CallContext{
 			Endpoint: c.endpoint.Name, Workspace: c.workspace, Route: c.route, EntryService: s.self.Service, Rank: c.rank,
 			RetryBudget: c.lentRetries, Timeout: c.deadline.Sub(now).Truncate(time.Millisecond), AtMostOnce: c.atMostOnce, IdempotencyHash: c.idempotencyKey.Hash,
@@ -130,7 +130,7 @@
 		s.runningByRequestID[c.requestID] = c
 	}
 	s.emitVerdict(now, c, Verdict{
-		Action: ActionRun, Endpoint: s.self.Name, Instance: s.target.last.InstanceID, Deadline: c.deadline, AttemptEnd: s.endOfAttempt(c),
+		Action: ActionRun, Endpoint: s.self.Name, Instance: s.target.last.InstanceID, AttemptEnd: s.endOfAttempt(c),
 		Context: CallContext{EntryService: c.entryService, Workspace: c.workspace, Route: c.route, Rank: c.rank, AtMostOnce: c.atMostOnce, IdempotencyHash: c.idempotencyKey.Hash},
 	})
 }
--- a/core/call.go
+++ b/core/call.go
@@ -127,9 +127,9 @@
 	return false
 }
 
-// emitVerdict adds a verdict to the effects, with the inputs it was based on.
+// emitVerdict adds a verdict to the effects, with the end of the call and the inputs it was based on.
 func (s *State) emitVerdict(now time.Time, c *call, v Verdict) {
-	v.Call = c.id
+	v.Call, v.Deadline = c.id, c.deadline
 	stats := s.gate.Stats()
 	v.Inputs = VerdictInputs{
 		Workspace: c.workspace, ManifestVersion: s.manifestVersion(), ManifestAge: now.Sub(s.manifestConfirmedAt), Remaining: c.deadline.Sub(now),
--- a/core/effect.go
+++ b/core/effect.go
@@ -101,7 +101,7 @@
 	Instance       string // ActionRun: the target's instance ID, empty if it sends no heartbeats
 	Address        netip.AddrPort
 	Context        CallContext
-	Deadline       time.Time     // ActionRun, ActionForward: until when the target works on the call
+	Deadline       time.Time     // until when the target works on the call and the sender gets its response, zero if not known
 	AttemptEnd     time.Time     // ActionRun, ActionForward: when the attempt is given up, Deadline or later
 	RetryAfter     time.Duration // ActionRefuse: delay before the caller may try again
 	Level          admit.Level
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -88,7 +88,22 @@
 	}
 }
 
+// minWriteTime is how long a sender has at least to read a response, also one that is late.
+const minWriteTime = 2 * time.Second
+
+// limitWrite ends the writing of the response with the time of the call, also if the sender is alive
+// and does not read it.
+func (x *exchange) limitWrite(v core.Verdict) {
+	end := v.Deadline
+	if v.AttemptEnd.After(end) {
+		end = v.AttemptEnd
+	}
+	left := max(minWriteTime, end.Sub(x.Clock.Now()))
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(left)) // fails if the connection has ended
+}
+
 func (x *exchange) refuse(v core.Verdict) {
+	x.limitWrite(v)
 	x.span.SetAttribute("reason", v.Reason.String())
 	x.span.SetAttribute("ran", v.Executed.String())
 	x.closeAfterUpload()
@@ -116,6 +131,7 @@
 		return
 	}
 	copyInto(x.w.Header(), ans.header)
+	x.limitWrite(v)
 	x.closeAfterUpload()
 	if x.origin == core.FromNode {
 		node.SetOutcome(x.w.Header(), "", node.Outcome{Level: v.Level, UnspentRetries: v.UnspentRetries})
@@ -289,6 +305,7 @@
 	x.response = nil
 	defer func() { _ = res.Body.Close() }()
 	copyInto(x.w.Header(), copyHeader(res.Header))
+	x.limitWrite(x.verdict)
 	x.suppressImplicitHeaders(x.w.Header())
 	x.closeAfterUpload()
 	if x.origin == core.FromNode {
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -19,7 +19,9 @@
 // process was idle: most of the wake-ups of a node that forwards short requests.
 type conn struct {
 	*net.TCPConn
+	raw         syscall.RawConn
 	read, write transfer
+	output      output
 }
 
 // transfer is the state of a read or a write in progress. The functions that the runtime
@@ -32,6 +34,7 @@
 	done    int
 	errno   syscall.Errno
 	attempt func(fd uintptr) bool
+	blocked func()  // called when a write waits for its peer
 	failure failure // of the system calls of a write
 }
 
@@ -41,6 +44,15 @@
 	errno syscall.Errno
 }
 
+// set records an error unless there is an earlier one.
+func (f *failure) set(errno syscall.Errno) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.errno == 0 {
+		f.errno = errno
+	}
+}
+
 // brokeOff returns the error with which the connection broke off before the peer had ended the
 // bytes that it sends, or 0. Once the peer has ended them, Linux reports a reset as EPIPE.
 func (f *failure) brokeOff() syscall.Errno {
@@ -58,9 +70,10 @@
 	if err != nil {
 		return c
 	}
-	out := &conn{TCPConn: c}
+	out := &conn{TCPConn: c, raw: raw, output: output{limit: userTimeout}}
 	out.read.op, out.read.wait, out.read.attempt = "read", raw.Read, out.read.tryRead
 	out.write.op, out.write.wait, out.write.attempt = "write", raw.Write, out.write.tryWrite
+	out.write.blocked = func() { outputs.watch(out) }
 	return out
 }
 
@@ -79,7 +92,13 @@
 }
 
 // Write writes to the connection.
-func (c *conn) Write(p []byte) (int, error) { return c.run(&c.write, p) }
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.run(&c.write, p)
+	if n > 0 {
+		outputs.watch(c)
+	}
+	return n, err
+}
 
 // run reads into p or writes it, and returns the number of bytes done.
 func (c *conn) run(t *transfer, p []byte) (int, error) {
@@ -131,12 +150,13 @@
 			t.done += int(n)
 		case syscall.EINTR:
 		case syscall.EAGAIN:
+			t.blocked()
 			return false
 		default:
-			t.errno = errno
 			if t.failure.errno == 0 {
 				t.failure.errno = errno
 			}
+			t.errno = t.failure.errno // the kernel reports a cause once, and EPIPE from then on
 			return true
 		}
 	}
--- a/io/tcp/dial.go
+++ b/io/tcp/dial.go
@@ -14,7 +14,8 @@
 	// that clients allow for connecting.
 	dialTimeout = 500 * time.Millisecond
 	// The kernel closes a connection if sent data is unacknowledged for userTimeout, or
-	// if the peer does not respond to keepAliveProbes consecutive keep-alive probes.
+	// if the peer does not respond to keepAliveProbes consecutive keep-alive probes. The
+	// outputMonitor raises userTimeout for peers that read slowly.
 	userTimeout       = 1500 * time.Millisecond
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -29,7 +30,7 @@
 func NewDialer() *Dialer {
 	return &Dialer{net.Dialer{
 		Timeout: dialTimeout,
-		Control: setUserTimeout,
+		Control: limitUnacknowledged,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
@@ -52,18 +53,23 @@
 // their peer stops responding.
 func newListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{
-		Control: setUserTimeout,
+		Control: limitUnacknowledged,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
 	}
 }
 
-// setUserTimeout limits how long sent data may be unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// limitUnacknowledged is a Control function that sets userTimeout.
+func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
+	return setUserTimeout(c, userTimeout)
+}
+
+// setUserTimeout sets how long sent data may be unacknowledged.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
