io/tcp, internal/agent: a planned stop waits for callers that read slowly

A node that was told to stop ended as soon as its calls had ended, while callers that paused in reading had got a part of their responses. The rest was in the kernel alone: nobody raised its limit on unacknowledged data any more, and a machine that goes with its process takes the bytes along.

A server closes idle connections in a planned stop and others after a last response, also if the client has no room for what was written. Such a connection is now kept until its client has read the response, has left, or the time of the response is up. A draining node waits for these connections after it has given up its leases, at most until its drain ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -272,7 +272,7 @@
 }
 
 // drain announces to peers that the node drains, serves callers until ListenerGrace has
-// passed, and waits for the calls in progress.
+// passed, and waits for the calls in progress and until their responses have been read.
 func (a *Agent) drain() error {
 	ctx, cancel := context.WithTimeout(context.Background(), a.DrainTimeout)
 	defer cancel()
@@ -286,9 +286,19 @@
 	if err := a.session.RevokeLeases(revokeCtx); err != nil {
 		a.observer.Warn(err)
 	}
+	a.flush(ctx)
 	return err
 }
 
+// flush waits until the senders have read the responses to all calls, or the context is done.
+func (a *Agent) flush(ctx context.Context) {
+	for name, l := range a.open {
+		if err := l.Flush(ctx); err != nil {
+			a.observer.Warn(fmt.Errorf("flush %s: %w", name, err))
+		}
+	}
+}
+
 // stopListeners stops the servers with StopFirst, waits for the calls in progress, and
 // stops the other servers.
 func (a *Agent) stopListeners(ctx context.Context) error {
--- a/io/tcp/admission.go
+++ b/io/tcp/admission.go
@@ -14,6 +14,7 @@
 // Phases of a connection, in the order in which connections are evicted.
 const (
 	phaseIdle   phase = iota // between requests
+	phaseFlush               // closed by its server while its client has not read all of the response
 	phaseHead                // accepted, or a request head is being read
 	phaseActive              // a request is in progress
 	phaseCount
@@ -111,10 +112,11 @@
 }
 
 // evict ends a connection of an address that holds no complete request, and reports whether
-// there was one: the one that has been idle the longest, or else the one whose request head has
+// there was one: the one that has been idle the longest, or else the one whose response has waited
+// the longest for its client after the server closed it, or else the one whose request head has
 // been incomplete the longest, or else one whose body or response does not get on. Connections of
-// an address that holds more than half of the limit go first. What has
-// been idle for less than MinIdle, or in a head for less than minHeadAge, stays.
+// an address that holds more than half of the limit go first. What has been idle for less than
+// MinIdle, unread for less than stallTime, or in a head for less than minHeadAge, stays.
 func (l *Listener) evict(now time.Time, from netip.Addr) bool {
 	if from == anyAddress {
 		if most := l.largestSource(); most != anyAddress && l.evict(now, most) {
@@ -127,6 +129,10 @@
 		l.end(c, EndedIdle)
 		return true
 	}
+	if c := l.oldest(phaseFlush, from, func(c *serverConn) bool { return now.Sub(c.phaseStart) >= stallTime }); c != nil {
+		l.end(c, EndedUnread)
+		return true
+	}
 	if c := l.oldest(phaseHead, from, func(c *serverConn) bool { return now.Sub(c.phaseStart) >= minHeadAge }); c != nil {
 		l.end(c, EndedHead)
 		return true
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"unsafe"
 
@@ -22,6 +23,7 @@
 	raw         syscall.RawConn
 	read, write transfer
 	output      output
+	resets      atomic.Bool // closing discards what its peer has not read
 }
 
 // transfer is the state of a read or a write in progress. The functions that the runtime
@@ -119,6 +121,12 @@
 	return t.done, nil
 }
 
+// SetLinger sets what closing does with bytes that the peer has not read, as for a net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
+}
+
 // tryRead reads once and reports whether the read is complete, successfully or not.
 func (t *transfer) tryRead(fd uintptr) bool {
 	for {
--- a/io/tcp/output.go
+++ b/io/tcp/output.go
@@ -87,7 +87,7 @@
 func (m *outputMonitor) checkConn(c *conn, now time.Time) bool {
 	info, err := c.info()
 	if err != nil {
-		if errors.Is(err, unix.ENOPROTOOPT) || errors.Is(err, unix.EOPNOTSUPP) || errors.Is(err, unix.ENOSYS) {
+		if isUnsupported(err) {
 			m.unsupported.Store(true)
 		}
 		return false // the kernel's limit applies
@@ -113,6 +113,10 @@
 	return pending
 }
 
+func isUnsupported(err error) bool {
+	return errors.Is(err, unix.ENOPROTOOPT) || errors.Is(err, unix.EOPNOTSUPP) || errors.Is(err, unix.ENOSYS)
+}
+
 // isUnacknowledged reports whether the peer has not acknowledged all bytes that were written.
 func isUnacknowledged(i *unix.TCPInfo) bool {
 	return i.State != unix.BPF_TCP_CLOSE && (i.Unacked > 0 || i.Notsent_bytes > 0)
--- a/io/tcp/server_conn.go
+++ b/io/tcp/server_conn.go
@@ -50,6 +50,8 @@
 	bodyBytes     int       // received
 	bodyWaitStart time.Time // of the last byte of the body
 	writeStart    time.Time
+	// writeEnd is until when the last response may be written and read, zero for no limit.
+	writeEnd time.Time
 }
 
 // place moves the connection to a phase. It does nothing for one that has been removed, which
@@ -110,7 +112,7 @@
 	if !c.started {
 		c.started, c.http2 = true, bytes.HasPrefix(p, http2Preface)
 	}
-	if c.position == nil { // refused while the bytes arrived: the request must not be executed
+	if c.position == nil || c.phase == phaseFlush { // ended while the bytes arrived: the request must not be executed
 		return c.endedError()
 	}
 	if c.ended { // the request had arrived before
@@ -163,7 +165,7 @@
 
 // beginRequest records that a request is in progress.
 func (c *serverConn) beginRequest() {
-	c.bodyBytes, c.reading = 0, true
+	c.bodyBytes, c.reading, c.writeEnd = 0, true, time.Time{}
 	c.place(phaseActive)
 }
 
@@ -198,7 +200,7 @@
 
 // writeAtOnce writes a short response, as far as the socket takes it without waiting.
 func (c *serverConn) writeAtOnce(response string) {
-	if c.SetWriteDeadline(time.Now().Add(time.Millisecond)) == nil {
+	if c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) == nil {
 		_, _ = io.WriteString(c.Conn, response)
 	}
 }
@@ -246,6 +248,17 @@
 	return time.Time{}
 }
 
+// SetWriteDeadline sets the end of the time for writing the current response. The server removes
+// it once it has written the response, which its client may not have read by then.
+func (c *serverConn) SetWriteDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if !t.IsZero() {
+		c.writeEnd = t
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SetDeadline sets both deadlines, the one for reading unless the connection has been ended.
 func (c *serverConn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
@@ -254,11 +267,17 @@
 	return c.SetWriteDeadline(t)
 }
 
-// Close closes the connection.
+// Close closes the connection, once its client has read the response; see flush.
 func (c *serverConn) Close() error {
 	c.listener.mu.Lock()
-	c.listener.remove(c)
+	flushes := c.phase == phaseFlush && c.position != nil || c.beginFlush(time.Now())
+	if !flushes {
+		c.listener.remove(c)
+	}
 	c.listener.mu.Unlock()
+	if flushes {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
@@ -297,7 +316,7 @@
 // if one is being read that the server has not taken up: Shutdown would cut it off.
 func (c *serverConn) endIfIdle() bool {
 	switch {
-	case c.http2 || c.state == http.StateActive || c.state == http.StateHijacked || c.state == http.StateClosed || c.ended:
+	case c.http2 || c.phase == phaseFlush || c.state == http.StateActive || c.state == http.StateHijacked || c.state == http.StateClosed || c.ended:
 		return true
 	case c.reading || c.hasUnreadData():
 		return false
--- a/io/tcp/slow_test.go
+++ b/io/tcp/slow_test.go
@@ -76,11 +76,13 @@
 		name     string
 		accepted bool
 		size     int
+		closed   bool // as soon as the bytes are written
 	}{
-		{"accepted, bytes in the kernel", true, 36_000},
-		{"accepted, write in progress", true, 16 << 20},
-		{"dialled, bytes in the kernel", false, 36_000},
-		{"dialled, write in progress", false, 16 << 20},
+		{"accepted, bytes in the kernel", true, 36_000, false},
+		{"accepted, closed with bytes in the kernel", true, 36_000, true},
+		{"accepted, write in progress", true, 16 << 20, false},
+		{"dialled, bytes in the kernel", false, 36_000, false},
+		{"dialled, write in progress", false, 16 << 20, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -88,6 +90,9 @@
 			written := make(chan error, 1)
 			go func() {
 				_, err := near.Write(bytes.Repeat([]byte("y"), tt.size))
+				if tt.closed {
+					_ = near.Close()
+				}
 				written <- err
 			}()
 			first, err := io.CopyN(io.Discard, far, 2000)
