io/tcp: one lost window probe ends no connection

A peer that had paused in reading for some seconds was probed about once a second, so that it counted as silent, and lost the rest of its response, if one probe was lost.

The limit beyond the time without progress is now 0.45 s instead of 0.75 s. The kernel then repeats a lost probe before the 1.5 s are up. TestLostProbeEndsNoConnection passes; it fails with 1.2 s in place of 0.45 s.

--- a/io/tcp/output.go
+++ b/io/tcp/output.go
@@ -14,10 +14,10 @@
 	// outputInterval is the interval at which unacknowledged output is checked.
 	outputInterval = 200 * time.Millisecond
 	// probeTime is added to the time for which a peer has read nothing and becomes the kernel's
-	// limit. The kernel sends the next window probe no later than its limit, so that a peer that
-	// becomes silent is found soon although the kernel's own interval doubles. The checks may come
-	// late by this time without ending a connection.
-	probeTime = 750 * time.Millisecond
+	// limit. The kernel sends the next window probe no later than its limit, although its own
+	// interval doubles: a lost one is repeated before userTimeout. Checks may come late by this
+	// time without ending a connection.
+	probeTime = 450 * time.Millisecond
 )
 
 // outputMonitor tells peers that read slowly from silent ones. The kernel's limit on
--- a/io/tcp/slow_test.go
+++ b/io/tcp/slow_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -177,6 +178,49 @@
 	}
 }
 
+// listen undoes silence.
+func listen(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ctlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	}); ctlErr != nil || err != nil {
+		t.Fatal(errors.Join(ctlErr, err))
+	}
+}
+
+// TestLostProbeEndsNoConnection guards against a peer that reads slowly and is taken for silent
+// because one window probe is lost.
+func TestLostProbeEndsNoConnection(t *testing.T) {
+	const (
+		conns, rounds = 8, 3
+		loss          = 400 * time.Millisecond // less than the time between two probes
+		calm          = 2 * time.Second
+	)
+	for i := range conns {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			near, far := ends(t, true)
+			if _, err := near.Write(bytes.Repeat([]byte("y"), 36_000)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(calm + time.Duration(i)*loss/conns)
+			for range rounds {
+				silence(t, far)
+				time.Sleep(loss)
+				listen(t, far)
+				time.Sleep(calm)
+				if !isOpen(near) {
+					t.Fatal("the connection has ended")
+				}
+			}
+		})
+	}
+}
+
 // TestRaisedLimitIsRestored guards against a connection on which a silent peer is found late
 // because its peer has paused in reading once.
 func TestRaisedLimitIsRestored(t *testing.T) {
