--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -8,31 +8,21 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"celeryshelf/internal/loopback"
 	"celeryshelf/io/node"
 )
 
-const (
-	// readPause is how long a slow peer does not read. It is longer than the time for which data
-	// may be unacknowledged.
-	readPause = 3 * time.Second
-	// smallWindow makes a peer that does not read close its window within a few kilobytes.
-	smallWindow = 4 << 10
-)
+// readPause is how long a slow peer does not read. It is longer than the time for which data may be
+// unacknowledged.
+const readPause = 3 * time.Second
 
 // dialSlow connects to an address from a socket with a small receive window.
 func dialSlow(t *testing.T, at netip.AddrPort) net.Conn {
 	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallWindow)
-		})
-	}}
+	d := net.Dialer{Control: loopback.SmallWindow}
 	c, err := d.DialContext(t.Context(), "tcp", at.String())
 	if err != nil {
 		t.Fatal(err)
--- a/io/tcp/flush.go
+++ b/io/tcp/flush.go
@@ -53,8 +53,8 @@
 	_ = c.Conn.Close() // fails if the connection has been evicted
 }
 
-// isUnread reports whether a connection holds bytes that its peer has no room for, and that are not
-// discarded when it is closed.
+// isUnread reports whether the kernel holds bytes that it could not send yet, or had to repeat: in
+// general as the peer has no room for them. Bytes that are discarded on closing do not count.
 func isUnread(c net.Conn) bool {
 	t, ok := c.(*conn)
 	if !ok || t.resets.Load() || outputs.unsupported.Load() {
--- a/io/tcp/flush_test.go
+++ b/io/tcp/flush_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"celeryshelf/internal/loopback"
 )
 
 // unreadSize is the size of a response that a small receive window does not hold, and the send
@@ -40,7 +42,7 @@
 // ask sends a request from a socket with a small window and does not read its response.
 func ask(t *testing.T, l *Listener) net.Conn {
 	t.Helper()
-	d := net.Dialer{Control: withSmallWindow}
+	d := net.Dialer{Control: loopback.SmallWindow}
 	c, err := d.DialContext(t.Context(), "tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/io/tcp/slow_test.go
+++ b/io/tcp/slow_test.go
@@ -12,21 +12,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-const (
-	// smallWindow makes a peer that does not read close its window within a few kilobytes.
-	smallWindow = 4 << 10
-	// silenceBound is the time within which a peer that has become silent must be found.
-	silenceBound = 2 * time.Second
+	"celeryshelf/internal/loopback"
 )
 
-// withSmallWindow is a Control function that limits the receive buffer of a socket.
-func withSmallWindow(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallWindow)
-	})
-}
+// silenceBound is the time within which a peer that has become silent must be found.
+const silenceBound = 2 * time.Second
 
 // ends returns the two ends of a connection: that of this package, and that of its peer, whose
 // receive window is small.
@@ -39,7 +30,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = l.Close() }()
-		d := net.Dialer{Control: withSmallWindow}
+		d := net.Dialer{Control: loopback.SmallWindow}
 		if far, err = d.DialContext(t.Context(), "tcp", l.Addr().String()); err != nil {
 			t.Fatal(err)
 		}
@@ -47,7 +38,7 @@
 			t.Fatal(err)
 		}
 	} else {
-		lc := net.ListenConfig{Control: withSmallWindow}
+		lc := net.ListenConfig{Control: loopback.SmallWindow}
 		l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
