internal/relay: the tests of slow readers share their connection and status checks

dialSlow repeated dial but for the options of its dialer, and two tests read a response and compared its status in the same lines. Only test files change, and the assertions stay.

--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -139,8 +139,12 @@
 }
 
 // dial connects to an address until the test ends.
-func dial(t *testing.T, at netip.AddrPort) net.Conn {
-	c, err := net.Dial("tcp", at.String())
+func dial(t *testing.T, at netip.AddrPort) net.Conn { return dialWith(t, net.Dialer{}, at) }
+
+// dialWith connects to an address with the options of a dialer until the test ends.
+func dialWith(t *testing.T, d net.Dialer, at netip.AddrPort) net.Conn {
+	t.Helper()
+	c, err := d.DialContext(t.Context(), "tcp", at.String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -22,16 +22,20 @@
 // dialSlow connects to an address from a socket with a small receive window.
 func dialSlow(t *testing.T, at netip.AddrPort) net.Conn {
 	t.Helper()
-	d := net.Dialer{Control: loopback.SmallWindow}
-	c, err := d.DialContext(t.Context(), "tcp", at.String())
+	return dialWith(t, net.Dialer{Control: loopback.SmallWindow}, at)
+}
+
+// expectOK reads a response and reports a status other than 200.
+func expectOK(t *testing.T, c net.Conn) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	if err := c.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
-		t.Fatal(err)
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Errorf("got status %d, want %d", res.StatusCode, http.StatusOK)
 	}
-	return c
 }
 
 // TestSlowCallerGetsTheRestOfAResponse guards against a response that is cut off because its caller
@@ -81,14 +85,7 @@
 	front, _ := startNodes(t, target, 8)
 	c := dial(t, front.caller)
 	upload{body: body}.start(c)
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		t.Errorf("got status %d, want %d", res.StatusCode, http.StatusOK)
-	}
+	expectOK(t, c)
 	if g := <-got; g.bytes != len(body) {
 		t.Errorf("the target got %d of %d bytes, error %v", g.bytes, len(body), g.err)
 	}
@@ -140,12 +137,5 @@
 	back.awaitCalls(t, slots+1)
 	time.Sleep(readPause)
 	close(release)
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		t.Errorf("got status %d, want %d", res.StatusCode, http.StatusOK)
-	}
+	expectOK(t, c)
 }
