--- a/review/harness-3/endpoint.go
+++ b/review/harness-3/endpoint.go
@@ -19,6 +19,9 @@
 	// reports whether the call succeeded.
 	call func(parent *http.Request) bool
 
+	// respond takes over the response to a request that runs and reports whether it did; it may be nil.
+	respond func(w http.ResponseWriter, r *http.Request) bool
+
 	mu      sync.Mutex
 	running int
 	state   string
@@ -96,6 +99,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if e.respond != nil && e.respond(w, r) {
+		return
+	}
 	wait := e.work
 	status := http.StatusOK
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Milliseconds")); err == nil && time.Duration(ms)*time.Millisecond < wait {
--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -19,7 +19,6 @@
 
 // Settings of a small deployment, as in the site file grit-jateng.
 const (
-	memoryMB     = 284
 	descriptors  = 4100
 	graceSeconds = 6
 	heartbeat    = 1500 * time.Millisecond
@@ -27,6 +26,9 @@
 	readyTimeout = 20 * time.Second
 )
 
+// memoryMB is the memory of a machine.
+var memoryMB = 284
+
 // vm is a machine with a node and the address of its endpoint.
 type vm struct {
 	name, service, zone                                        string
@@ -57,20 +59,24 @@
 // other's ports.
 var host = fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(254))
 
+// givenAddrs holds the addresses that freeAddrs has returned. Processes that have not started yet
+// will listen on some of them.
+var givenAddrs = map[string]bool{}
+
 // freeAddrs returns n free addresses of the host.
 func freeAddrs(n int) []string {
 	var out []string
-	var open []net.Listener
-	for range n {
+	for len(out) < n {
 		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			cannotRun("find a free port: %v", err)
 		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range open {
+		address := l.Addr().String()
 		_ = l.Close()
+		if !givenAddrs[address] {
+			givenAddrs[address] = true
+			out = append(out, address)
+		}
 	}
 	return out
 }
--- a/review/harness-3/grit.go
+++ b/review/harness-3/grit.go
@@ -23,16 +23,33 @@
 		{name: "ledger-read", host: "inner.example", prefix: "/ledger/", kind: "safe", service: "gudang", timeoutMS: 3000, aimMS: 1200, priority: 2, attempts: 2, public: true},
 	}
 	tenants := []tenantConfig{{name: "mill", keys: []string{tenantKey}, rate: 1000, burst: 1000}}
-	running = newFleet(configText(7, []string{"gudang", "kasir"}, routes, tenants))
-	f := running
+	var machines []machine
 	for i, s := range services {
-		v := f.add(fmt.Sprintf("sidecar-%d", i), s, zones[i%len(zones)])
-		f.start(v)
-		slots, work := 159, 160*time.Millisecond
+		m := machine{s, zones[i%len(zones)], 159, 160 * time.Millisecond}
 		if s == "gudang" {
-			slots, work = 120, 120*time.Millisecond
+			m.slots, m.work = 120, 120*time.Millisecond
 		}
-		f.endpoints = append(f.endpoints, startEndpoint(v, "i-"+v.name, slots, work))
+		machines = append(machines, m)
+	}
+	return startFleet(configText(7, []string{"gudang", "kasir"}, routes, tenants), machines)
+}
+
+// machine is a machine to start: its endpoint's service, slots and time for a request, and its
+// zone.
+type machine struct {
+	service, zone string
+	slots         int
+	work          time.Duration
+}
+
+// startFleet starts a deployment with a configuration and waits until it is ready.
+func startFleet(config []byte, machines []machine) *fleet {
+	running = newFleet(config)
+	f := running
+	for i, m := range machines {
+		v := f.add(fmt.Sprintf("sidecar-%d", i), m.service, m.zone)
+		f.start(v)
+		f.endpoints = append(f.endpoints, startEndpoint(v, "i-"+v.name, m.slots, m.work))
 	}
 	f.awaitReady()
 	time.Sleep(settleTime)
--- a/review/harness-3/ordinary.go
+++ b/review/harness-3/ordinary.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,8 @@
 	tries   []try
 	unready []time.Time
 	probes  int
+
+	orders, lost atomic.Int64
 }
 
 // observe lets ordinary clients send requests to a machine, each on a new connection, and asks
