review/12: large configurations in quick succession end processes

Each manifest that is passed on is encoded several times for each peer, and nothing limits the messages that are being sent. Nodes of 184 MB exceed their memory, and requests that ran lose their answers.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Runs the case. See claim.txt; needs target/celerynode and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/celerynode ] && [ -x target/review-3 ] || exit 2
-exec target/review-3 room review/12/record.txt
+exec target/review-3 grown review/12/record.txt
