review/harness-3: a stopped machine's process is not started again

Four processes of trials were left behind: a machine that was being restarted while the case ended started its process once more.

--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -127,19 +127,26 @@
 	go v.supervise()
 }
 
-// launch starts the process.
+// launch starts the process, unless the machine has been stopped.
 func (v *vm) launch() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopped {
+		return
+	}
 	c := exec.Command(program)
 	c.Env = []string{"CELERYSHELF_NODE_FILE=" + v.file}
 	c.Stdout, c.Stderr = v.log, v.log
 	if err := c.Start(); err != nil {
-		cannotRun("start the node: %v", err)
+		go cannotRun("start the node: %v", err)
+		return
 	}
-	v.mu.Lock()
-	v.process, v.exited = c, make(chan struct{})
-	done := v.exited
-	v.mu.Unlock()
-	go func() { _ = c.Wait(); close(done) }()
+	done := make(chan struct{})
+	v.process, v.exited = c, done
+	go func() {
+		_ = c.Wait()
+		close(done)
+	}()
 }
 
 // supervise does what the platform does: it kills a process over its memory, and starts an ended
