core, io/store, platform/kv: what an earlier era of the store confirmed is stored again

Cause: departures.stored was set once and outlived the content of the store that it spoke of. Nothing in the client knew that the content may go back, and peers replaced what they knew by the announcement of the next process.

Change: the client reads Store-Era, rejects answers of an earlier era and reports a rise before it uses the answer that shows it. The session then reads and watches the store again and gives up leases and revisions that the copy may lack; the reducer raises the number of what has to be stored, which a confirmation in flight can't settle.

--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -90,6 +90,9 @@
 // sendConfirmation answers a message that a peer sent at the given uptime of its own.
 func (s *State) sendConfirmation(now time.Time, to string, requesterUptime time.Duration) {
 	c := s.confirmation(now, requesterUptime)
+	if p, ok := s.peers.Get(to); ok {
+		c.LeftStartMilli = p.UnannouncedLeftStart()
+	}
 	s.send(to, &c)
 }
 
@@ -98,7 +101,7 @@
 func (s *State) confirmation(now time.Time, requesterUptime time.Duration) Confirmation {
 	return Confirmation{
 		RequesterUptime: requesterUptime, Version: s.manifestVersion(), Age: now.Sub(s.manifestConfirmedAt),
-		Evacuations: s.evacuationsMessage(now),
+		Evacuations: s.evacuationsMessage(now), StoreEra: s.storeEra.latest(),
 	}
 }
 
@@ -110,6 +113,8 @@
 		return
 	}
 	s.confirmationHeardAt = now
+	s.hearOfStoreEra(m.StoreEra)
+	s.recallFromPeer(now, m.LeftStartMilli)
 	s.advanceConfirmedAt(m.Version, s.started.Add(m.RequesterUptime-m.Age))
 	s.hearOfManifest(now, from, m.Version)
 	s.confirmEvacuations(now, m)
--- a/core/departure.go
+++ b/core/departure.go
@@ -33,7 +33,7 @@
 // acknowledgements that wait until they are stored.
 type departures struct {
 	list     []departure
-	revision uint64 // increases with each departure that has to be stored
+	revision uint64 // increases with each departure that has to be stored, and when all have to be again
 	stored   uint64 // revision that the store holds
 	savedAt  time.Time
 	withheld []withheldAck
@@ -76,6 +76,25 @@
 	return now.Sub(e.learned) < lateHeartbeatTime
 }
 
+// includesStart reports whether the departure of an instance with that start, or of a later one,
+// is known.
+func (d *departures) includesStart(startUnixMilli int64) bool {
+	return slices.ContainsFunc(d.list, func(e departure) bool { return e.StartUnixMilli >= startUnixMilli })
+}
+
+// requireSave makes all departures be stored again, as the store may have lost them. The
+// acknowledgements that are withheld wait for that.
+func (d *departures) requireSave() {
+	if len(d.list) == 0 {
+		return
+	}
+	d.revision++
+	d.savedAt = time.Time{}
+	for i := range d.withheld {
+		d.withheld[i].revision = d.revision
+	}
+}
+
 // add adds a departure, or a later time of one. It reports whether that changes the list.
 func (d *departures) add(now time.Time, n Departure) bool {
 	for i := range d.list {
--- a/core/departure_test.go
+++ b/core/departure_test.go
@@ -19,10 +19,11 @@
 	acked    map[AckID]bool
 	lastAck  AckID
 	lastCall CallID
+	era      uint64 // of the store
 }
 
 func newDepartureTest() *departureTest {
-	d := &departureTest{now: time.Unix(1000, 0), acked: map[AckID]bool{}}
+	d := &departureTest{now: time.Unix(1000, 0), acked: map[AckID]bool{}, era: 1}
 	d.start()
 	return d
 }
@@ -31,6 +32,7 @@
 func (d *departureTest) start() {
 	d.state, d.pending = New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true}), nil
 	d.step(&ManifestStored{Manifest: keylessManifest()})
+	d.step(&StoreEra{Era: d.era})
 }
 
 func (d *departureTest) step(e Event) {
@@ -230,7 +232,12 @@
 	"read":    func(_ *rapid.T, d *departureTest, _ *instance) { d.readStore() },
 	"save":    func(_ *rapid.T, d *departureTest, _ *instance) { d.save() },
 	"fail":    func(_ *rapid.T, d *departureTest, _ *instance) { d.pending = nil },
-	"tick":    func(_ *rapid.T, d *departureTest, _ *instance) { d.step(&Tick{}) },
+	"return": func(t *rapid.T, d *departureTest, _ *instance) {
+		d.returnFromCopy(d.stored[:rapid.IntRange(0, len(d.stored)).Draw(t, "kept")])
+		d.step(&Tick{})
+		d.save() // the process lives until it has written again
+	},
+	"tick": func(_ *rapid.T, d *departureTest, _ *instance) { d.step(&Tick{}) },
 }
 
 // TestAcknowledgedDeparturesHoldOverRestarts plays instances, departures, late heartbeats,
--- a/core/effect.go
+++ b/core/effect.go
@@ -208,6 +208,7 @@
 	NoticeTargetWarm
 	NoticeServiceDeclining
 	NoticeServiceAccepting
+	NoticeStoreEra
 )
 
 // Notice is an event for the operators' log.
--- a/core/event.go
+++ b/core/event.go
@@ -164,6 +164,13 @@
 // LeaseLost reports that the store lease has expired.
 type LeaseLost struct{}
 
+// StoreEra reports the era of the store's content, before any event from an answer of that era.
+// It is reported when the first answer names it and whenever it rises, which means that the
+// store has come back from an older copy. Answers of an earlier era are not reported any more.
+type StoreEra struct {
+	Era uint64
+}
+
 // StoreReachability reports whether the store responds.
 type StoreReachability struct {
 	Reachable bool
@@ -282,6 +289,7 @@
 func (*Tick) event()               {}
 func (*SettingsChanged) event()    {}
 func (*DrainRequested) event()     {}
+func (*StoreEra) event()           {}
 func (*LeaseHeld) event()          {}
 func (*LeaseLost) event()          {}
 func (*StoreReachability) event()  {}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,13 +75,32 @@
 // Peer is a member with what this node has observed of it.
 type Peer struct {
 	Member
-	LastHeard   time.Time // last contact, or last new announcement from any node
-	Unreachable bool      // the last FailureThreshold attempts to reach it failed
+	// LeftStartMilli is the start of the latest target that any process of the node has announced
+	// as leaving, 0 if none has, in milliseconds since 1970.
+	LeftStartMilli int64
+	LastHeard      time.Time // last contact, or last new announcement from any node
+	Unreachable    bool      // the last FailureThreshold attempts to reach it failed
 
 	failures     int       // counted failed attempts in a row
 	lastFailure  time.Time // when a failed attempt was last counted
 	gossipRounds int       // gossip messages that still carry the announcement as a recent change
 }
 
+// UnannouncedLeftStart returns LeftStartMilli if the present process of the node has announced
+// neither that this target leaves nor a later target, and 0 otherwise.
+func (p *Peer) UnannouncedLeftStart() int64 {
+	if p.TargetLeaving || p.TargetStartMilli > p.LeftStartMilli {
+		return 0
+	}
+	return p.LeftStartMilli
+}
+
+// rememberLeaving updates LeftStartMilli.
+func (p *Peer) rememberLeaving() {
+	if p.TargetLeaving {
+		p.LeftStartMilli = max(p.LeftStartMilli, p.TargetStartMilli)
+	}
+}
+
 // Live reports whether the peer is reachable and not draining.
 func (p *Peer) Live() bool { return !p.Draining && !p.Unreachable }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -53,7 +53,9 @@
 	i, found := t.find(m.Name)
 	if !found {
 		t.version++
-		t.peers = slices.Insert(t.peers, i, Peer{Member: m, LastHeard: now, gossipRounds: gossipRoundsPerChange})
+		p := Peer{Member: m, LastHeard: now, gossipRounds: gossipRoundsPerChange}
+		p.rememberLeaving()
+		t.peers = slices.Insert(t.peers, i, p)
 		return Joined
 	}
 	p := &t.peers[i]
@@ -69,6 +71,7 @@
 		p.Unreachable, p.failures, p.lastFailure = false, 0, time.Time{}
 	}
 	p.Member, p.LastHeard, p.gossipRounds = m, now, gossipRoundsPerChange
+	p.rememberLeaving()
 	return result
 }
 
--- a/core/message.go
+++ b/core/message.go
@@ -41,6 +41,11 @@
 	Version         uint64        `json:"version"`
 	Age             time.Duration `json:"age"`
 	Evacuations     *Evacuations  `json:"evac,omitempty"` // left out if the sender knows of none
+	StoreEra        uint64        `json:"era,omitempty"`  // latest that the sender knows, see StoreEra
+	// LeftStartMilli is the start of the latest target of the receiver's node that has announced
+	// that it leaves, as the sender remembers it from an earlier process of that node. It is left
+	// out if the receiver has announced that, or a later target. In milliseconds since 1970.
+	LeftStartMilli int64 `json:"left,omitempty"`
 }
 
 // Report carries one node's demand, load and call costs to the planner.
--- a/core/names.go
+++ b/core/names.go
@@ -59,6 +59,7 @@
 	NoticeEvacuationStarted: "evacuation-started", NoticeEvacuationEnded: "evacuation-ended",
 	NoticeTargetCold: "target-cold", NoticeTargetRamping: "target-ramping", NoticeTargetWarm: "target-warm",
 	NoticeServiceDeclining: "service-declining", NoticeServiceAccepting: "service-accepting",
+	NoticeStoreEra: "store-era",
 }
 
 // String returns the notice's name in logs.
--- a/core/state.go
+++ b/core/state.go
@@ -73,6 +73,7 @@
 	rejectedMembers map[string]member.Member
 	peerClocks      map[string]peerClock
 	storeReachable  bool
+	storeEra        storeEra
 
 	confirmationHeardAt time.Time // when a peer last sent a Confirmation
 	manifestConfirmedAt time.Time // last time at which the active manifest was known to be the newest
--- a/core/store.go
+++ b/core/store.go
@@ -24,6 +24,8 @@
 // handleStoreEvent applies an event from the store.
 func (s *State) handleStoreEvent(now time.Time, e Event) {
 	switch e := e.(type) {
+	case *StoreEra:
+		s.handleStoreEra(e)
 	case *LeaseHeld:
 		s.shardOwner.RenewLease(e.Until)
 	case *LeaseLost:
@@ -40,6 +42,20 @@
 		s.advanceConfirmedAt(e.Version, e.At)
 	case *EvacuationsStored:
 		s.handleStoredEvacuations(now, e)
+	case *CostsStored:
+		s.setStoredCosts(now, e.Rows)
+	case *ClaimDone:
+		s.handleClaimDone(now, e)
+	case *DeparturesSaved:
+		s.handleDeparturesSaved(e)
+	default:
+		s.handleNodeRecord(now, e)
+	}
+}
+
+// handleNodeRecord applies a change of a member's announcement or a shard's record.
+func (s *State) handleNodeRecord(now time.Time, e Event) {
+	switch e := e.(type) {
 	case *MemberStored:
 		s.mergeMember(now, e.Member)
 	case *MemberDeleted:
@@ -48,12 +64,6 @@
 		s.setShardOwner(e.ShardRecord)
 	case *ShardDeleted:
 		s.handleShardDeleted(now, e.Shard)
-	case *CostsStored:
-		s.setStoredCosts(now, e.Rows)
-	case *ClaimDone:
-		s.handleClaimDone(now, e)
-	case *DeparturesSaved:
-		s.handleDeparturesSaved(e)
 	}
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -58,6 +58,7 @@
 	leases            map[int64]lease
 	lastLeaseID       int64
 	faults            StoreFaults
+	era               uint64
 	changed           chan struct{} // closed and replaced on each change of the data or the faults
 	callCount         int
 }
@@ -65,7 +66,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		revision: 1, values: map[string]storedValue{}, leases: map[int64]lease{},
+		era: 1, revision: 1, values: map[string]storedValue{}, leases: map[int64]lease{},
 		changed: make(chan struct{}),
 	}
 }
--- a/io/store/departures_test.go
+++ b/io/store/departures_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 // announcing and saving departures need; any other call panics.
 type leaseClient struct {
 	Client
+	mu     sync.Mutex
 	ttls   []time.Duration // by lease, counted from 1
 	values map[string]KeyValue
 	leases map[string]int64 // by key
@@ -28,11 +30,15 @@
 }
 
 func (c *leaseClient) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.ttls = append(c.ttls, ttl)
 	return int64(len(c.ttls)), c.fail
 }
 
 func (c *leaseClient) Put(_ context.Context, key string, value []byte, lease int64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.fail == nil {
 		c.values[key], c.leases[key] = KeyValue{Key: key, Value: value, Revision: 1}, lease
 	}
@@ -40,6 +46,8 @@
 }
 
 func (c *leaseClient) Revoke(_ context.Context, lease int64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for key, l := range c.leases {
 		if l == lease {
 			delete(c.values, key)
@@ -50,6 +58,8 @@
 }
 
 func (c *leaseClient) Range(_ context.Context, prefix string) ([]KeyValue, int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var out []KeyValue
 	for key, p := range c.values {
 		if strings.HasPrefix(key, prefix) {
@@ -59,6 +69,44 @@
 	return out, 7, c.fail
 }
 
+// Watch reports nothing.
+func (c *leaseClient) Watch(ctx context.Context, _ string, _ int64, _ time.Duration, _ func(Change, int64)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// leaseOf returns the lease of a key, 0 if the key does not exist.
+func (c *leaseClient) leaseOf(key string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.values[key]; !ok {
+		return 0
+	}
+	return c.leases[key]
+}
+
+// lose removes a key.
+func (c *leaseClient) lose(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.values, key)
+}
+
+// await waits until a key exists under a lease other than the given one.
+func (c *leaseClient) await(t *testing.T, key string, other int64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if lease := c.leaseOf(key); lease != 0 && lease != other {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s is not written under a new lease", key)
+		}
+	}
+}
+
+var testAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
 type discardWarnings struct{}
 
 func (discardWarnings) Warn(error) {}
@@ -66,7 +114,7 @@
 func newLeaseSession(c Client) (*Session, *eventRecorder) {
 	seen := &eventRecorder{}
 	s := NewSession(Config{
-		Client: c, Layout: NewLayout("shelf/"), NodeName: "n0", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		Client: c, Layout: NewLayout("shelf/"), NodeName: "n0", Address: testAddress,
 		LeaseTTL: time.Second, Logger: discardWarnings{}, Clock: systemClock{},
 	})
 	s.SetSink(seen)
--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -22,13 +22,16 @@
 	mu      sync.Mutex
 	lease   int64 // 0 while none is held
 	until   time.Time
+	usedAt  time.Time     // when the lease was granted or a key last written under it
+	returns int           // times that the store has come back from an older copy
 	granted chan struct{} // signals keep or hold that acquire has got a lease
+	dropped chan struct{} // signals renew that handleReturn has given the lease up
 }
 
 func newLeaseKeeper(c Config, ttl time.Duration, renewals float64) *leaseKeeper {
 	return &leaseKeeper{
 		client: c.Client, clock: c.Clock, ttl: ttl, interval: time.Duration(float64(ttl) / renewals),
-		onHeld: func(time.Time, bool) {}, onLost: func() {}, granted: make(chan struct{}, 1),
+		onHeld: func(time.Time, bool) {}, onLost: func() {}, granted: make(chan struct{}, 1), dropped: make(chan struct{}, 1),
 	}
 }
 
@@ -37,12 +40,14 @@
 	if lease := k.current(); lease != 0 {
 		return lease, nil
 	}
-	start := k.clock.Now()
+	start, returns := k.clock.Now(), k.returnCount()
 	lease, err := k.client.Grant(ctx, k.ttl)
 	if err != nil {
 		return 0, fmt.Errorf("acquire lease: %w", err)
 	}
-	k.set(lease, start.Add(k.ttl))
+	if !k.setGranted(lease, start, returns) {
+		return 0, fmt.Errorf("acquire lease: %w", errStoreReturned)
+	}
 	select {
 	case k.granted <- struct{}{}:
 	default:
@@ -89,7 +94,7 @@
 func (k *leaseKeeper) renew(ctx context.Context) {
 	lease := k.current()
 	wait := k.interval
-	for try := 0; sleep(ctx, wait-rand.N(wait/8)); {
+	for try := 0; k.sleep(ctx, wait-rand.N(wait/8)); {
 		held, until := k.state()
 		if held != lease {
 			return
@@ -126,6 +131,66 @@
 	return nil
 }
 
+// sleep waits for d, or until the lease is given up. It returns false if the context is done
+// first.
+func (k *leaseKeeper) sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-k.dropped:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// handleReturn gives up the lease if the copy that the store has come back from may lack the
+// lease or a key under it. The store may grant its number again.
+func (k *leaseKeeper) handleReturn(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.returns++
+	if k.lease == 0 || now.Sub(k.usedAt) >= maxCopyAge {
+		return
+	}
+	k.lease = 0
+	k.onLost()
+	select {
+	case k.dropped <- struct{}{}:
+	default:
+	}
+}
+
+// markUsed records that a key has been written under a lease.
+func (k *leaseKeeper) markUsed(lease int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease == lease {
+		k.usedAt = k.clock.Now()
+	}
+}
+
+func (k *leaseKeeper) returnCount() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.returns
+}
+
+// setGranted sets a lease that was requested at the given time and after the given number of
+// returns. It returns false if the store has come back from an older copy since.
+func (k *leaseKeeper) setGranted(lease int64, requested time.Time, returns int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.returns != returns {
+		return false
+	}
+	k.lease, k.until, k.usedAt = lease, requested.Add(k.ttl), requested
+	k.onHeld(k.until, true)
+	return true
+}
+
 func (k *leaseKeeper) set(lease int64, until time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/io/store/revision.go
+++ b/io/store/revision.go
@@ -28,6 +28,13 @@
 	t.reported = max(t.reported, revision)
 }
 
+// reset discards all revisions.
+func (t *revisionTracker) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported, t.lastChecked = 0, 0
+}
+
 // cancelIfStalled is called with a revision that was read from the store. It cancels
 // the watch if the previous call was given the same revision and the watch has still
 // not reported it.
--- a/io/store/session.go
+++ b/io/store/session.go
@@ -82,6 +82,7 @@
 	sink     Sink
 	requests chan core.StoreRequest
 	watched  revisionTracker
+	scopes   eraScopes
 
 	member            *leaseKeeper // of the member record
 	claims            *leaseKeeper // of the shard claims
@@ -118,6 +119,9 @@
 	}
 	s.claims.onHeld = func(until time.Time, _ bool) { s.sink.Post(&core.LeaseHeld{Until: until}) }
 	s.claims.onLost = func() { s.sink.Post(&core.LeaseLost{}) }
+	if c, ok := c.Client.(EraReporter); ok {
+		c.ReportEra(s.handleEra)
+	}
 	return s
 }
 
@@ -319,6 +323,7 @@
 	if err := s.Client.Put(ctx, s.Layout.memberKey(s.NodeName), value, lease); err != nil {
 		return fmt.Errorf("announce: %w", err)
 	}
+	s.member.markUsed(lease)
 	s.announcedOnce.Do(func() { close(s.announced) })
 	return nil
 }
--- a/io/store/shard_claim.go
+++ b/io/store/shard_claim.go
@@ -164,6 +164,7 @@
 		}
 	}
 	if held {
+		s.claims.markUsed(lease)
 		s.claims.whileHeld(lease, report)
 		return
 	}
@@ -184,6 +185,13 @@
 	}
 }
 
+// clearPreviousClaims discards the revisions, which the store may give out again.
+func (s *Session) clearPreviousClaims() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.previousClaims)
+}
+
 func (s *Session) setPreviousClaim(key string, revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -73,15 +73,22 @@
 // was read. It starts again when the watch breaks.
 func (s *Session) loadAndWatch(ctx context.Context, prefix string, load func(context.Context) (int64, error)) {
 	for try := 0; ctx.Err() == nil; try++ {
-		revision, err := load(ctx)
+		eraCtx, done := s.scopes.begin(ctx)
+		revision, err := load(eraCtx)
 		if err == nil {
-			if s.watch(ctx, prefix, revision) > stableWatchDuration {
+			if s.watch(eraCtx, prefix, revision) > stableWatchDuration {
 				try = 0
 			}
 		}
+		returned := eraCtx.Err() != nil
+		done()
 		if ctx.Err() != nil {
 			return
 		}
+		if returned {
+			try = -1 // the store answers
+			continue
+		}
 		s.sink.Post(&core.StoreReachability{Reachable: false})
 		if !waitBeforeRetry(ctx, try) {
 			return
