--- a/cmd/bench/step.go
+++ b/cmd/bench/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"runtime"
 	"time"
@@ -21,7 +22,7 @@
 
 // busyState returns the state of a single node that owns all shards of its workspace
 // and has enough tokens to admit every call, and the arrival event to repeat.
-func busyState(now time.Time) (*core.State, *core.CallArrived) {
+func busyState(now time.Time) (*core.State, *core.CallArrived, error) {
 	const rate, burst = 1e8, 200_000_000
 	s := core.New(core.Settings{Self: member.Member{
 		Name: "n", Service: "maps", Domain: "d", Incarnation: 1, Revision: 1,
@@ -30,18 +31,22 @@
 	w := manifest.Workspace{Name: "w", Rate: rate, Burst: burst, Keys: []manifest.Key{{Name: "k", Digest: manifest.DigestOf("k")}}}
 	s.Step(now, &core.StoreReachability{Reachable: true})
 	s.Step(now, &core.LeaseHeld{Until: now.Add(24 * time.Hour)})
-	s.Step(now, &core.ManifestStored{Manifest: manifest.Versioned{Version: 1, Manifest: manifest.Manifest{
+	m, err := manifest.Compile(manifest.Versioned{Version: 1, Manifest: manifest.Manifest{
 		Workspaces: []manifest.Workspace{w}, Services: []manifest.Service{{Name: "maps"}},
 		Routes: []manifest.Route{{
 			Name: "map", Method: "GET", Path: "/map", Service: "maps",
 			Timeout: manifest.Duration{Duration: time.Second},
 		}},
-	}}})
+	}})
+	if err != nil {
+		return nil, nil, fmt.Errorf("compile manifest: %w", err)
+	}
+	s.Step(now, &core.ManifestStored{Manifest: m})
 	n := shardCount(w)
 	for i := range n {
 		s.Step(now, &core.ClaimDone{Shard: quota.Shard{Workspace: "w", Index: i, Count: n}, Held: true})
 	}
-	return s, &core.CallArrived{Route: core.RouteLookup{Outcome: core.RouteFound, Version: 1, Name: "map", Method: "GET", Path: "/map"}, KeyDigest: w.Keys[0].Digest, HasKey: true}
+	return s, &core.CallArrived{Route: core.RouteLookup{Outcome: core.RouteFound, Version: 1, Name: "map", Method: "GET", Path: "/map"}, KeyDigest: w.Keys[0].Digest, HasKey: true}, nil
 }
 
 // step measures the reducer's throughput and allocations on one core, with alternating
@@ -49,7 +54,10 @@
 func step(context.Context, options) (Result, error) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	now := time.Now()
-	s, arrive := busyState(now)
+	s, arrive, err := busyState(now)
+	if err != nil {
+		return Result{}, err
+	}
 	now = now.Add(3 * time.Second)
 	finish := &core.CallFinished{Complete: true}
 	tick := &core.Tick{}
--- a/core/arrival.go
+++ b/core/arrival.go
@@ -126,7 +126,7 @@
 // route is not public, it refuses the call and returns false.
 func (s *State) authorize(now time.Time, c *call, e *CallArrived, r *manifest.Route) bool {
 	if e.HasKey && !s.manifestStale(now) {
-		if w := s.manifest.byKeyDigest[e.KeyDigest]; w != nil {
+		if w := s.manifest.source.Owner(e.KeyDigest); w != nil {
 			c.workspace, c.weight = w.Name, w.Rate
 			return true
 		}
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -16,7 +16,7 @@
 	m := testManifest(1e8, 200_000_000)
 	s.Step(now, &StoreReachability{Reachable: true})
 	s.Step(now, &LeaseHeld{Until: now.Add(time.Hour)})
-	s.Step(now, &ManifestStored{Manifest: m})
+	s.Step(now, &ManifestStored{Manifest: compiled(m)})
 	for i := range 3 {
 		s.Step(now, &ClaimDone{Shard: quota.Shard{Workspace: "bo-lieu", Index: i, Count: 3}, Held: true})
 	}
--- a/core/call_test.go
+++ b/core/call_test.go
@@ -136,7 +136,7 @@
 		for i := range rapid.IntRange(0, 3).Draw(t, "peers") {
 			o.step(&MemberStored{Member: testMember(i + 1)})
 		}
-		o.step(&ManifestStored{Manifest: m})
+		o.step(&ManifestStored{Manifest: compiled(m)})
 		t.Repeat(map[string]func(*rapid.T){
 			"caller": func(t *rapid.T) { o.t = t; o.fromCaller() },
 			"node":   func(t *rapid.T) { o.t = t; o.fromNode() },
--- a/core/cold_domain_test.go
+++ b/core/cold_domain_test.go
@@ -22,7 +22,7 @@
 	v.Manifest.Services[1].ColdRate, v.Manifest.Services[1].ColdDuration.Duration = testColdRate, testColdTime
 	for i := range d.nodes {
 		d.step(i, &SettingsChanged{RetryLimit: d.settings[i].RetryLimit, WarmupBound: testBound})
-		d.step(i, &ManifestStored{Manifest: v})
+		d.step(i, &ManifestStored{Manifest: compiled(v)})
 		d.step(i, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "t", StartUnixMilli: 1, Sequence: 2, Slots: d.slots(i)}})
 	}
 	return d
--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -116,6 +116,7 @@
 	s.hearOfStoreEra(m.StoreEra)
 	s.recallFromPeer(now, m.LeftStartMilli)
 	s.advanceConfirmedAt(m.Version, s.started.Add(m.RequesterUptime-m.Age))
+	s.peers.SetManifestVersion(from, m.Version)
 	s.hearOfManifest(now, from, m.Version)
 	s.confirmEvacuations(now, m)
 }
--- a/core/confirmation_test.go
+++ b/core/confirmation_test.go
@@ -34,7 +34,7 @@
 func confirmedNode(now time.Time) *State {
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, MaxStaleness: testMaxStaleness})
 	v := testManifest(0, 1)
-	s.Step(now, &ManifestStored{Manifest: v})
+	s.Step(now, &ManifestStored{Manifest: compiled(v)})
 	s.Step(now, &ManifestConfirmed{Version: v.Version, At: now})
 	return s
 }
--- a/core/costs_test.go
+++ b/core/costs_test.go
@@ -14,7 +14,7 @@
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
 	s.Step(now, &StoreReachability{Reachable: true})
 	m := keylessManifest()
-	s.Step(now, &StoreSnapshot{Manifest: &m, Costs: costs})
+	s.Step(now, &StoreSnapshot{Manifest: compiled(m), Costs: costs})
 	return s
 }
 
--- a/core/declined_test.go
+++ b/core/declined_test.go
@@ -20,7 +20,7 @@
 	m.Manifest.Services = []manifest.Service{{Name: "maps"}, {Name: "deep"}}
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
 	now := time.Unix(1000, 0)
-	s.Step(now, &ManifestStored{Manifest: m})
+	s.Step(now, &ManifestStored{Manifest: compiled(m)})
 	for i := 1; i <= 2; i++ {
 		peer := testMember(i)
 		peer.Service = "deep"
--- a/core/declining_service_test.go
+++ b/core/declining_service_test.go
@@ -194,7 +194,7 @@
 // not renewed.
 func TestDeclinedRatioLapsesWithThePlan(t *testing.T) {
 	s, now := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true}), time.Unix(1000, 0)
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &MessageReceived{From: "n1", Body: &Sync{Self: testMember(1)}})
 	s.Step(now, &MessageReceived{From: "n1", Body: &Plan{Declining: []plan.DeclinedRatio{{Service: "maps", Ratio: 0.9}}}})
 	if !s.declining(now, "maps") {
--- a/core/departure_test.go
+++ b/core/departure_test.go
@@ -31,7 +31,7 @@
 // start starts a process that has not read the store.
 func (d *departureTest) start() {
 	d.state, d.pending = New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true}), nil
-	d.step(&ManifestStored{Manifest: keylessManifest()})
+	d.step(&ManifestStored{Manifest: compiled(keylessManifest())})
 	d.step(&StoreEra{Era: d.era})
 }
 
--- a/core/drain_test.go
+++ b/core/drain_test.go
@@ -11,7 +11,7 @@
 	const callerGrace = 3 * time.Second
 	now := time.Unix(1000, 0)
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.Step(now, &CallArrived{Call: 1, Origin: FromNode, RequestID: "a", Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Minute}})
 	s.Step(now, &DrainRequested{CallerGrace: callerGrace})
@@ -40,7 +40,7 @@
 	const targetGrace = 2 * time.Second
 	now := time.Unix(1000, 0)
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true, TargetHeartbeats: true})
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "t", StartUnixMilli: 1, Sequence: 1, Slots: 1}})
@@ -90,7 +90,7 @@
 	}
 	now := time.Unix(1000, 0)
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
-	s.Step(now, &ManifestStored{Manifest: m})
+	s.Step(now, &ManifestStored{Manifest: compiled(m)})
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.Step(now, &CallArrived{Call: 1, Origin: FromNode, RequestID: "a", Context: CallContext{Endpoint: "n0", Route: "map", Timeout: time.Minute}})
 	s.Step(now, &DrainRequested{CallerGrace: callerGrace, TargetGrace: callerGrace, Limit: limit})
--- a/core/effect.go
+++ b/core/effect.go
@@ -6,6 +6,7 @@
 
 	"celeryshelf/core/admit"
 	"celeryshelf/core/evacuation"
+	"celeryshelf/core/manifest"
 	"celeryshelf/core/member"
 	"celeryshelf/core/plan"
 	"celeryshelf/core/quota"
@@ -22,7 +23,10 @@
 	// Acknowledgements lists the messages of the local target that may be acknowledged. What
 	// they told is then not forgotten in a restart.
 	Acknowledgements []AckID
-	NewManifest      *ActiveManifest // a manifest that has just become active
+	NewManifest      *manifest.Compiled // a manifest that has just become active
+	// EncodedManifest is the encoding of a manifest that a peer has sent, nil if there is none. It
+	// takes too long to decode for the control thread; ManifestDecoded reports the result.
+	EncodedManifest []byte
 	// Work is what responses to other nodes state of the work at the local target. Unlike the
 	// other effects it is kept from step to step.
 	Work route.Work
@@ -37,7 +41,7 @@
 	e.StoreRequests = e.StoreRequests[:0]
 	e.Notices = e.Notices[:0]
 	e.Acknowledgements = e.Acknowledgements[:0]
-	e.NewManifest = nil
+	e.NewManifest, e.EncodedManifest = nil, nil
 }
 
 // Action is what is done with a call.
--- a/core/elected_fleet_test.go
+++ b/core/elected_fleet_test.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"bytes"
 	"container/heap"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -24,7 +26,8 @@
 	random   *rand.Rand
 	nodes    []*electedNode
 	byName   map[string]*electedNode
-	stored   manifest.Versioned
+	stored   *manifest.Compiled
+	keys     int                    // of each manifest that is published
 	records  map[quota.Shard]string // owner
 	away     bool                   // the store answers nobody
 	verifies int
@@ -42,21 +45,35 @@
 	cut      bool // cut off from the store
 	isolated bool // cut off from the store and from all peers
 	dead     bool
+	sendsAt  time.Time // when it has sent the chunks before
+	chunks   int       // of large manifests that are on their way from it
+	most     int       // largest number of them
 }
 
 const (
 	electedHop       = 2 * time.Millisecond
 	electedStoreTime = 4 * time.Millisecond
 	electedStaleness = 3800 * time.Millisecond
+	// electedChunkTime is the time in which a node sends a chunk: 350 KB in JSON over 1000 Mbit/s,
+	// and the processor time for it. electedDecodeTime is that for a manifest of 1.5 MB.
+	electedChunkTime  = 10 * time.Millisecond
+	electedDecodeTime = 100 * time.Millisecond
 )
 
-func electedManifest(version uint64) manifest.Versioned {
+// electedManifest returns a manifest with a number of keys.
+func electedManifest(version uint64, keys int) manifest.Versioned {
 	v := testManifest(20, 40)
 	v.Version = version
 	v.ApplyID = fmt.Sprint("r", version)
 	for i := range 12 {
 		v.Manifest.Workspaces = append(v.Manifest.Workspaces, manifest.Workspace{Name: fmt.Sprint("w", i), Rate: 10, Burst: 10})
 	}
+	w := &v.Manifest.Workspaces[0]
+	for i := range keys {
+		var d manifest.Digest
+		binary.BigEndian.PutUint64(d[:], uint64(i)+version<<32)
+		w.Keys = append(w.Keys, manifest.Key{Name: fmt.Sprint("k", i), Digest: d})
+	}
 	return v
 }
 
@@ -70,7 +87,7 @@
 		evacuation: bound, revision: 1, evacuated: map[string]uint64{},
 
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(3, 4)), byName: map[string]*electedNode{},
-		stored: electedManifest(1), records: map[quota.Shard]string{},
+		stored: compiled(electedManifest(1, 0)), records: map[quota.Shard]string{},
 	}
 	var members []member.Member
 	for i := range domains * perDomain {
@@ -148,11 +165,19 @@
 		return
 	}
 	effects := n.Step(f.now, e)
+	if encoding := effects.EncodedManifest; encoding != nil {
+		f.after(electedDecodeTime*time.Duration(len(encoding))/(3<<19), func() {
+			f.step(n, &ManifestDecoded{Manifest: f.decode(encoding)})
+		})
+	}
 	for _, m := range effects.Envelopes {
 		f.messages++
 		to := f.byName[m.To]
 		from, body := n.self.Name, m.Body
-		f.after(electedHop, func() {
+		f.after(f.sendTime(n, body), func() {
+			if c, ok := body.(*ManifestChunk); ok && c.Size > manifestChunkBytes {
+				n.chunks--
+			}
 			lost := n.isolated || to.isolated
 			if !lost {
 				f.step(to, &MessageReceived{From: from, Body: body})
@@ -165,6 +190,36 @@
 	}
 }
 
+// decode decodes a manifest, unless it is the one in the store: that would take most of the time
+// of the test.
+func (f *electedFleet) decode(encoding []byte) *manifest.Compiled {
+	if bytes.Equal(encoding, f.stored.Encoding()) {
+		return f.stored
+	}
+	m, err := manifest.Decode(encoding)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return m
+}
+
+// sendTime returns the time until a message arrives. A node sends one chunk after the other.
+func (f *electedFleet) sendTime(n *electedNode, m Message) time.Duration {
+	c, ok := m.(*ManifestChunk)
+	if !ok {
+		return electedHop
+	}
+	if c.Size > manifestChunkBytes {
+		n.chunks++
+		n.most = max(n.most, n.chunks)
+	}
+	if n.sendsAt.Before(f.now) {
+		n.sendsAt = f.now
+	}
+	n.sendsAt = n.sendsAt.Add(electedChunkTime * time.Duration(len(c.Data)) / manifestChunkBytes)
+	return n.sendsAt.Sub(f.now) + electedHop
+}
+
 func (f *electedFleet) reaches(n *electedNode) bool {
 	return !f.away && !n.cut && !n.dead && !n.isolated
 }
@@ -231,7 +286,7 @@
 
 // publish writes a manifest to the store, whose watch tells the watchers of it.
 func (f *electedFleet) publish(version uint64) {
-	f.stored = electedManifest(version)
+	f.stored = compiled(electedManifest(version, f.keys))
 	f.watchEvent(&ManifestStored{Manifest: f.stored})
 }
 
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -25,7 +25,7 @@
 func newEvacuationTest(t *testing.T, bound time.Duration) *evacuationTest {
 	e := &evacuationTest{t: t, now: time.Unix(1000, 0)}
 	e.state = New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true, PlannedAdmission: true, ElectWatchers: true, Evacuation: bound})
-	e.step(&ManifestStored{Manifest: keylessManifest()})
+	e.step(&ManifestStored{Manifest: compiled(keylessManifest())})
 	var members []member.Member
 	for i := range 4 {
 		members = append(members, testMember(i))
--- a/core/event.go
+++ b/core/event.go
@@ -184,7 +184,7 @@
 
 // StoreSnapshot is the complete content of the store.
 type StoreSnapshot struct {
-	Manifest *manifest.Versioned // nil if none is stored
+	Manifest *manifest.Compiled // nil if none is stored
 	Members  []member.Member
 	Shards   []ShardRecord
 	Costs    []plan.RouteCost // see CostsStored
@@ -206,7 +206,19 @@
 
 // ManifestStored reports that the store holds a manifest.
 type ManifestStored struct {
-	Manifest manifest.Versioned
+	Manifest *manifest.Compiled
+}
+
+// ManifestRejected reports that the store holds a manifest that is not valid.
+type ManifestRejected struct {
+	Version uint64
+	Detail  string
+}
+
+// ManifestDecoded is the result of decoding Effects.EncodedManifest.
+type ManifestDecoded struct {
+	Manifest *manifest.Compiled // nil if it could not be decoded
+	Error    string             // why not
 }
 
 // ManifestConfirmed reports which version was the newest manifest in the store at a
@@ -296,6 +308,8 @@
 func (*StoreSnapshot) event()      {}
 func (*MembersStored) event()      {}
 func (*ManifestStored) event()     {}
+func (*ManifestRejected) event()   {}
+func (*ManifestDecoded) event()    {}
 func (*ManifestConfirmed) event()  {}
 func (*HeartbeatReceived) event()  {}
 func (*TargetDeregistered) event() {}
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -90,7 +90,7 @@
 		for k := range n {
 			f.step(i, &MemberStored{Member: testMember(k)})
 		}
-		f.step(i, &ManifestStored{Manifest: m})
+		f.step(i, &ManifestStored{Manifest: compiled(m)})
 		node.renewAt = f.now
 	}
 	return f
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -136,7 +136,7 @@
 	settings := &m.settings[i]
 	settings.Self.Incarnation++
 	m.nodes[i], m.hops[i] = New(*settings), map[CallID]*simHop{}
-	m.step(i, &ManifestStored{Manifest: simManifest()})
+	m.step(i, &ManifestStored{Manifest: compiled(simManifest())})
 	slots := 200
 	if i >= m.front {
 		slots = m.deepSlots
--- a/core/lookup.go
+++ b/core/lookup.go
@@ -31,12 +31,6 @@
 	return out
 }
 
-// ActiveManifest is the manifest in force with the matcher of its routes.
-type ActiveManifest struct {
-	*manifest.Versioned
-	Matcher *manifest.Matcher
-}
-
 // useActiveManifest matches a request again if it was matched against another version than
 // the active one: each decision on a call uses a single version. A call that was looked up
 // without a manifest is not matched again, so that its refusal does not depend on what the
@@ -45,7 +39,7 @@
 	if s.manifest == nil || l.Outcome == ManifestUnknown || l.Version == s.manifestVersion() {
 		return
 	}
-	*l = LookUpRoute(s.manifestVersion(), s.manifest.matcher, l.Method, l.Host, l.Path)
+	*l = LookUpRoute(s.manifestVersion(), s.manifest.source.Matcher(), l.Method, l.Host, l.Path)
 }
 
 // findRoute returns the route that a lookup has found, or nil.
--- a/core/lookup_test.go
+++ b/core/lookup_test.go
@@ -43,7 +43,7 @@
 			s := New(Settings{Self: testMember(0)})
 			s.Step(now, &StoreReachability{Reachable: true})
 			if arrived {
-				s.Step(now, &ManifestStored{Manifest: versionWithRoutes(1, "map")})
+				s.Step(now, &ManifestStored{Manifest: compiled(versionWithRoutes(1, "map"))})
 			}
 			got := s.Step(now, &CallArrived{Call: 1, Origin: origin, Timeout: time.Second}).Verdicts
 			if len(got) != 1 || got[0].Action != ActionRefuse || got[0].Reason != ReasonNoManifest {
@@ -74,8 +74,8 @@
 			s := New(Settings{Self: testMember(0)})
 			s.Step(now, &StoreReachability{Reachable: true})
 			then := versionWithRoutes(1, tt.then...)
-			s.Step(now, &ManifestStored{Manifest: then})
-			s.Step(now, &ManifestStored{Manifest: versionWithRoutes(2, tt.next...)})
+			s.Step(now, &ManifestStored{Manifest: compiled(then)})
+			s.Step(now, &ManifestStored{Manifest: compiled(versionWithRoutes(2, tt.next...))})
 			got := s.Step(now, &CallArrived{Call: 1, Route: lookUpUnder(then, tt.path), Timeout: time.Second}).Verdicts
 			if len(got) != 1 {
 				t.Fatalf("got %d verdicts, want 1", len(got))
--- a/core/manifest/validate.go
+++ b/core/manifest/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -49,8 +50,8 @@
 
 func (v *validator) checkWorkspaces(list []Workspace) {
 	names := map[string]bool{}
-	digests := map[Digest]string{}
-	for i, w := range list {
+	for i := range list {
+		w := &list[i]
 		path := fmt.Sprintf("/workspaces/%d", i)
 		v.checkName(names, path+"/name", w.Name)
 		if w.Rate < 0 {
@@ -59,14 +60,43 @@
 		if w.Rate > 0 && float64(w.Burst) < max(1, w.Rate*MinBurstWindow.Seconds()) {
 			v.addf(path+"/burst", "must be at least 1 and cover the rate for %s", MinBurstWindow)
 		}
-		keys := map[string]bool{}
-		for j, k := range w.Keys {
-			keyPath := fmt.Sprintf("%s/keys/%d", path, j)
-			v.checkName(keys, keyPath+"/name", k.Name)
-			if owner, taken := digests[k.Digest]; taken {
-				v.addf(keyPath+"/digest", "same key as %s", owner)
+		if !namedByNumber(w.Keys) {
+			keys := map[string]bool{}
+			for j := range w.Keys {
+				v.checkName(keys, fmt.Sprintf("%s/keys/%d/name", path, j), w.Keys[j].Name)
 			}
-			digests[k.Digest] = w.Name + "/" + k.Name
+		}
+	}
+	v.checkDigests(list)
+}
+
+// namedByNumber reports whether each key is named by its number, so that the names differ.
+func namedByNumber(keys []Key) bool {
+	var buffer [20]byte
+	for i := range keys {
+		if keys[i].Name != string(strconv.AppendInt(buffer[:0], int64(i), 10)) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkDigests adds a violation for each key that an earlier one is equal to.
+func (v *validator) checkDigests(list []Workspace) {
+	type position struct{ workspace, key uint32 }
+	total := 0
+	for i := range list {
+		total += len(list[i].Keys)
+	}
+	seen := make(map[Digest]position, total)
+	for i := range list {
+		for j := range list[i].Keys {
+			k := &list[i].Keys[j]
+			if o, taken := seen[k.Digest]; taken {
+				other := &list[o.workspace]
+				v.addf(fmt.Sprintf("/workspaces/%d/keys/%d/digest", i, j), "same key as %s/%s", other.Name, other.Keys[o.key].Name)
+			}
+			seen[k.Digest] = position{uint32(i), uint32(j)}
 		}
 	}
 }
--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -15,15 +15,13 @@
 
 // manifestIndex is the active manifest with lookup tables for decisions on calls.
 type manifestIndex struct {
-	source      manifest.Versioned
-	byKeyDigest map[manifest.Digest]*manifest.Workspace
-	workspaces  map[string]*manifest.Workspace
-	routes      map[string]*manifest.Route
-	matcher     *manifest.Matcher
-	meanRate    float64 // of all workspaces; the weight of calls without a workspace
-	salt        uint64  // the same on all nodes and unknown to callers, who could otherwise choose IDs that rank high
-	classes     map[callPriority]uint8
-	topClass    uint8 // highest value in classes
+	source     *manifest.Compiled
+	workspaces map[string]*manifest.Workspace
+	routes     map[string]*manifest.Route
+	meanRate   float64 // of all workspaces; the weight of calls without a workspace
+	salt       uint64  // the same on all nodes and unknown to callers, who could otherwise choose IDs that rank high
+	classes    map[callPriority]uint8
+	topClass   uint8 // highest value in classes
 }
 
 // callPriority orders calls by the workspace's priority, then by the route's.
@@ -72,14 +70,13 @@
 	return idx.classes[priorityOf(idx.workspaces[workspace], r)]
 }
 
-func newManifestIndex(v manifest.Versioned) *manifestIndex {
+func newManifestIndex(v *manifest.Compiled) *manifestIndex {
 	idx := &manifestIndex{
-		source:      v,
-		byKeyDigest: map[manifest.Digest]*manifest.Workspace{},
-		workspaces:  map[string]*manifest.Workspace{},
-		routes:      map[string]*manifest.Route{},
-		meanRate:    1,
-		salt:        xxhash.Sum64String(v.ApplyID),
+		source:     v,
+		workspaces: map[string]*manifest.Workspace{},
+		routes:     map[string]*manifest.Route{},
+		meanRate:   1,
+		salt:       xxhash.Sum64String(v.ApplyID),
 	}
 	m := &idx.source.Manifest
 	sum := 0.0
@@ -87,9 +84,6 @@
 		w := &m.Workspaces[i]
 		idx.workspaces[w.Name] = w
 		sum += w.Rate
-		for _, k := range w.Keys {
-			idx.byKeyDigest[k.Digest] = w
-		}
 	}
 	if len(m.Workspaces) > 0 {
 		idx.meanRate = sum / float64(len(m.Workspaces))
@@ -97,7 +91,6 @@
 	for i := range m.Routes {
 		idx.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
-	idx.matcher = manifest.NewMatcher(m.Routes)
 	idx.assignClasses()
 	return idx
 }
@@ -133,23 +126,22 @@
 	return s.manifest.meanRate
 }
 
-// applyManifest makes a manifest the active one if it is valid and newer than the current
-// one.
-func (s *State) applyManifest(now time.Time, v manifest.Versioned) {
+// applyManifest makes a manifest the active one if it is newer than the current one.
+func (s *State) applyManifest(now time.Time, v *manifest.Compiled) {
 	if v.Version <= s.manifestVersion() {
 		return
 	}
-	if len(v.Manifest.Validate()) > 0 {
-		s.addNotice(Notice{Kind: NoticeManifestRejected, Version: v.Version})
-		return
+	var replaced *manifest.Compiled
+	if s.manifest != nil {
+		replaced = s.manifest.source
 	}
 	s.manifest = newManifestIndex(v)
 	s.applyAllowances(now)
 	s.configureWarmup(now)
 	s.self.ManifestVersion = v.Version
-	s.effects.NewManifest = &ActiveManifest{Versioned: &s.manifest.source, Matcher: s.manifest.matcher}
+	s.effects.NewManifest = v
 	s.addNotice(Notice{Kind: NoticeManifestActive, Version: v.Version})
-	s.spreadManifest(now)
+	s.spreadManifest(now, replaced)
 }
 
 // applyAllowances passes the manifest's rate limits to the token pool and to the shards that
--- a/core/membership.go
+++ b/core/membership.go
@@ -46,7 +46,7 @@
 		return minTickDelay
 	}
 	next := now.Add(maxTickDelay)
-	for _, due := range []time.Time{s.due.sync, s.due.claim, s.due.sweep, s.due.report} {
+	for _, due := range [...]time.Time{s.due.sync, s.due.claim, s.due.sweep, s.due.report, s.distribution.retryAt} {
 		if due.After(now) && due.Before(next) {
 			next = due
 		}
@@ -148,12 +148,13 @@
 	case *Sync:
 		s.handleSync(now, m)
 	case *ManifestRequest:
-		if s.manifest != nil {
-			s.send(e.From, &ManifestResponse{Manifest: s.manifest.source})
-			s.sendConfirmation(now, e.From, m.Uptime)
-		}
+		s.handleManifestRequest(now, e.From, m)
+	case *ManifestChunk:
+		s.handleManifestChunk(now, e.From, m)
+	case *ManifestBusy:
+		s.handleManifestBusy(now, e.From)
 	case *ManifestResponse:
-		s.applyManifest(now, m.Manifest)
+		s.handleManifestResponse(now, e.From, m)
 	case *Confirmation:
 		s.handleConfirmation(now, e.From, m)
 	case *Report:
@@ -300,6 +301,8 @@
 func (s *State) handlePeerReachability(now time.Time, e *PeerReachability) {
 	if e.Reachable {
 		s.resetBackoff(e.Name)
+	} else if s.distribution.download.from == e.Name && !s.distribution.download.decoding {
+		s.giveUpDownload(now)
 	}
 	s.setReachable(now, e.Name, e.Reachable)
 }
--- a/core/message.go
+++ b/core/message.go
@@ -63,12 +63,32 @@
 	Declining []plan.DeclinedRatio `json:"declining,omitempty"`
 }
 
-// ManifestRequest asks for the peer's active manifest. A Confirmation follows the answer.
+// ManifestRequest asks for the peer's active manifest, or for the chunk of a version that starts
+// at an offset. If the peer no longer has that version, the answer is the first chunk of its
+// active one. A request for the end of the encoding tells the peer that all of it has arrived. A
+// Confirmation follows then, or at once if there is only one chunk.
 type ManifestRequest struct {
-	Uptime time.Duration `json:"clock,omitempty"` // time since the sender's process started
+	Uptime  time.Duration `json:"clock,omitempty"`   // time since the sender's process started
+	Chunks  bool          `json:"chunks,omitempty"`  // the sender understands ManifestChunk and ManifestBusy
+	Version uint64        `json:"version,omitempty"` // 0 for the active one
+	Offset  int           `json:"offset,omitempty"`  // in bytes
 }
 
-// ManifestResponse answers a ManifestRequest.
+// ManifestChunk answers a ManifestRequest with a part of the encoding of a manifest.
+type ManifestChunk struct {
+	Version  uint64 `json:"version"`
+	Size     int    `json:"size"` // of the whole encoding, in bytes
+	Checksum uint64 `json:"sum"`  // of the whole encoding, see manifest.Compiled
+	Offset   int    `json:"offset"`
+	Data     []byte `json:"data"`
+}
+
+// ManifestBusy answers a ManifestRequest if the peer has no manifest, or no room for another
+// transfer.
+type ManifestBusy struct{}
+
+// ManifestResponse answers a ManifestRequest of a node that does not understand chunks, or of an
+// earlier version of this program. Only a manifest that fits into one chunk is sent in it.
 type ManifestResponse struct {
 	Manifest manifest.Versioned `json:"manifest"`
 }
@@ -138,6 +158,8 @@
 func (*Plan) message()                 {}
 func (*ManifestRequest) message()      {}
 func (*ManifestResponse) message()     {}
+func (*ManifestChunk) message()        {}
+func (*ManifestBusy) message()         {}
 func (*ShardUpdate) message()          {}
 func (*ShardQuery) message()           {}
 func (*TokenBatchRequest) message()    {}
--- a/core/odd_entry_test.go
+++ b/core/odd_entry_test.go
@@ -95,7 +95,7 @@
 func TestOddMessagesChangeNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true, MaxStaleness: 4 * time.Second})
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &MemberStored{Member: testMember(1)})
 	s.tokenPool.SetAllowance("w", quota.Allowance{Rate: 10, Burst: 10})
 	request := func(i int) quota.BatchRequest {
@@ -157,7 +157,7 @@
 	}
 	now := time.Unix(1000, 0)
 	first := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
-	first.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	first.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	first.Step(now, &StoreSnapshot{})
 	first.Step(now, heartbeat(7, 1, false))
 	record := first.Step(now, heartbeat(7, 3, true)).StoreRequests[0].(*AnnounceMember).Member
@@ -174,7 +174,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := New(Settings{Self: restarted, RandomSeed: 1, TargetHeartbeats: true})
-			s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+			s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 			s.Step(now, heartbeat(7, 2, false)) // was overtaken by the one with sequence 3
 			if arrive(s, 1) {
 				t.Error("a call ran before the node has heard what its earlier process announced")
@@ -192,7 +192,7 @@
 	}
 	t.Run("store away", func(t *testing.T) {
 		s := New(Settings{Self: restarted, RandomSeed: 1, TargetHeartbeats: true})
-		s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+		s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 		s.Step(now, heartbeat(8, 1, false))
 		now = now.Add(recallTimeout)
 		s.Step(now, &Tick{})
--- a/core/placement_test.go
+++ b/core/placement_test.go
@@ -17,7 +17,7 @@
 	for i := range m.Manifest.Routes {
 		m.Manifest.Routes[i].Public = true
 	}
-	s.Step(now, &ManifestStored{Manifest: m})
+	s.Step(now, &ManifestStored{Manifest: compiled(m)})
 	return s
 }
 
--- a/core/retry_after_test.go
+++ b/core/retry_after_test.go
@@ -17,7 +17,7 @@
 			v.Manifest.Routes[i].TargetLatency = manifest.Duration{Duration: objective}
 		}
 		s := New(Settings{Self: testMember(0), RandomSeed: 1, PlannedAdmission: true})
-		s.Step(now, &ManifestStored{Manifest: v})
+		s.Step(now, &ManifestStored{Manifest: compiled(v)})
 		delays := map[time.Duration]bool{}
 		refused := 0
 		for call := CallID(1); call <= 40; call++ {
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -110,16 +110,19 @@
 		if e == nil {
 			t.Fatalf("unknown event type %q", l.Event)
 		}
-		decodeEvent(t, l, e)
+		e = decodeEvent(t, l, e)
 		printEffects(out, l, s.Step(start.Add(at), e), start)
 	}
 }
 
-func decodeEvent(t *testing.T, l sessionLine, e Event) {
+func decodeEvent(t *testing.T, l sessionLine, e Event) Event {
 	var into any = e
 	if r, ok := e.(*MessageReceived); ok {
 		r.From, into = "n1", r.Body
 	}
+	if _, ok := e.(*ManifestStored); ok {
+		return decodeManifestEvent(t, l)
+	}
 	if l.With != nil {
 		if err := json.Unmarshal(l.With, into); err != nil {
 			t.Fatalf("%s: %v", l.With, err)
@@ -134,6 +137,20 @@
 	if h, ok := e.(*LeaseHeld); ok {
 		h.Until = time.Unix(1000, 0).UTC().Add(time.Minute)
 	}
+	return e
+}
+
+// decodeManifestEvent returns the event with which the store's session reports a manifest.
+func decodeManifestEvent(t *testing.T, l sessionLine) Event {
+	var stored struct{ Manifest manifest.Versioned }
+	if err := json.Unmarshal(l.With, &stored); err != nil {
+		t.Fatalf("%s: %v", l.With, err)
+	}
+	m, err := manifest.Compile(stored.Manifest)
+	if err != nil {
+		return &ManifestRejected{Version: stored.Manifest.Version, Detail: err.Error()}
+	}
+	return &ManifestStored{Manifest: m}
 }
 
 func printEffects(out *bytes.Buffer, l sessionLine, e *Effects, start time.Time) {
--- a/core/state.go
+++ b/core/state.go
@@ -172,6 +172,8 @@
 		s.setWarmupBound(now, e.WarmupBound)
 	case *DrainRequested:
 		s.startDrain(now, e)
+	case *ManifestDecoded:
+		s.handleManifestDecoded(now, e)
 	case *HeartbeatReceived:
 		s.handleHeartbeat(now, e)
 	case *TargetDeregistered:
--- a/core/store.go
+++ b/core/store.go
@@ -38,6 +38,8 @@
 		s.applyMembers(now, e)
 	case *ManifestStored:
 		s.applyManifest(now, e.Manifest)
+	case *ManifestRejected:
+		s.addNotice(Notice{Kind: NoticeManifestRejected, Version: e.Version, Detail: e.Detail})
 	case *ManifestConfirmed:
 		s.advanceConfirmedAt(e.Version, e.At)
 	case *EvacuationsStored:
@@ -94,7 +96,7 @@
 // rest.
 func (s *State) applySnapshot(now time.Time, e *StoreSnapshot) {
 	if e.Manifest != nil {
-		s.applyManifest(now, *e.Manifest)
+		s.applyManifest(now, e.Manifest)
 	}
 	for _, m := range e.Members {
 		s.mergeMember(now, m)
--- a/core/target_test.go
+++ b/core/target_test.go
@@ -32,7 +32,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
 			now := time.Unix(1000, 0)
-			s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+			s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 			s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 			for _, e := range tt.events {
 				now = now.Add(time.Millisecond)
@@ -54,7 +54,7 @@
 func TestDrainingTargetRejectsQueuedCalls(t *testing.T) {
 	s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
 	now := time.Unix(1000, 0)
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &StoreSnapshot{}) // a starting node uses its target once it has read the store
 	s.Step(now, &HeartbeatReceived{Heartbeat: Heartbeat{InstanceID: "a", StartUnixMilli: 1, Sequence: 1, Slots: 1}})
 	run := s.Step(now, &CallArrived{Call: 1, Route: lookup("map"), Timeout: time.Second}).Verdicts
@@ -86,7 +86,7 @@
 		{"later instance with the same ID", lateHeartbeatTime, "a", 9, true},
 	} {
 		s := New(Settings{Self: testMember(0), RandomSeed: 1, TargetHeartbeats: true})
-		s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+		s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 		s.Step(now, &StoreSnapshot{})
 		s.Step(now, &TargetDeregistered{InstanceID: "a"})
 		at := now.Add(tt.after)
--- a/core/unreachable_test.go
+++ b/core/unreachable_test.go
@@ -13,7 +13,7 @@
 	self := testMember(0)
 	self.Service = "front"
 	s := New(Settings{Self: self, RandomSeed: 1, PlannedAdmission: true, ElectWatchers: true})
-	s.Step(now, &ManifestStored{Manifest: keylessManifest()})
+	s.Step(now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	s.Step(now, &MembersStored{})
 	for i := 1; i <= 2; i++ {
 		s.Step(now, &MemberStored{Member: testMember(i)})
--- a/core/warmup_test.go
+++ b/core/warmup_test.go
@@ -44,7 +44,7 @@
 
 // start lets the node know the manifest and what an earlier process has stored.
 func (n *warmupNode) start() *warmupNode {
-	n.Step(n.now, &ManifestStored{Manifest: coldManifest()})
+	n.Step(n.now, &ManifestStored{Manifest: compiled(coldManifest())})
 	n.Step(n.now, &StoreSnapshot{})
 	return n
 }
@@ -231,7 +231,7 @@
 		t.Fatalf("got %+v, want a refusal as not executed that tells the cold period", refused)
 	}
 	sender := New(Settings{Self: testMember(1), PlannedAdmission: true})
-	sender.Step(n.now, &ManifestStored{Manifest: coldManifest()})
+	sender.Step(n.now, &ManifestStored{Manifest: compiled(coldManifest())})
 	peer := testMember(0)
 	peer.Slots = 40
 	sender.Step(n.now, &MemberStored{Member: peer})
@@ -281,7 +281,7 @@
 // targets, and on nodes without the setting.
 func TestNothingChangesWithoutAColdRate(t *testing.T) {
 	withoutRate := newWarmupNode()
-	withoutRate.Step(withoutRate.now, &ManifestStored{Manifest: keylessManifest()})
+	withoutRate.Step(withoutRate.now, &ManifestStored{Manifest: compiled(keylessManifest())})
 	withoutRate.Step(withoutRate.now, &StoreSnapshot{})
 	withoutSetting := newWarmupNode().start()
 	withoutSetting.Step(withoutSetting.now, &SettingsChanged{})
--- a/core/watch_test.go
+++ b/core/watch_test.go
@@ -16,7 +16,7 @@
 	s.Step(now, &StoreReachability{Reachable: true})
 	s.Step(now, &LeaseHeld{Until: now.Add(time.Hour)})
 	m := testManifest(10, 10)
-	s.Step(now, &StoreSnapshot{Manifest: &m})
+	s.Step(now, &StoreSnapshot{Manifest: compiled(m)})
 	s.Step(now, &MembersStored{})
 	for i := 1; i <= n; i++ {
 		peer := testMember(i)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -132,16 +132,18 @@
 	boot := clock.BootTime{}
 	a.observer = newObserver(c.Logger, router)
 	a.router, a.connLog = router, newConnLog(c.Logger)
-	a.control = node.NewControlTransport(ctx, node.ControlTransportConfig{Name: c.Self.Name, BytesSent: a, MaxConns: c.Shares.ControlDialled, MaxMessageBytes: c.Shares.MessageBytes})
+	a.control = node.NewControlTransport(ctx, node.ControlTransportConfig{Name: c.Self.Name, BytesSent: a, MaxConns: c.Shares.ControlDialled, MaxReadBytes: c.Shares.ReadMessageBytes, MaxSentBytes: c.Shares.SentMessageBytes})
 	a.session = store.NewSession(store.Config{
 		Client: c.Store, Layout: c.Layout, NodeName: c.Self.Name, Address: c.Self.ControlAddr, LeaseTTL: c.LeaseTTL, MemberLeaseTTL: c.MemberLeaseTTL, ElectWatchers: c.ElectWatchers, Logger: a.observer, Clock: boot,
 	})
+	decoder := &manifestDecoder{}
 	a.loop = control.New(control.Config{
 		State: core.New(core.Settings{
 			Self: c.Self, SeedAddresses: c.SeedAddresses, RandomSeed: rand.Uint64(), TargetHeartbeats: c.TargetHeartbeats, MaxStaleness: c.MaxStaleness, PlannedAdmission: c.PlannedAdmission, ElectWatchers: c.ElectWatchers, RetryLimit: c.RetryLimit, Evacuation: c.Evacuation, PlaceByCompletion: c.PlaceByCompletion, WarmupBound: c.WarmupBound,
 		}),
-		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot,
+		MessageSender: a.control, StoreExecutor: a.session, Observer: a.observer, Clock: boot, ManifestDecoder: decoder,
 	})
+	decoder.loop = a.loop
 	a.control.SetSink(a.loop)
 	a.session.SetSink(a.loop)
 	a.relay = relay.New(relay.Config{
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"celeryshelf/core"
+	"celeryshelf/core/manifest"
 	"celeryshelf/io/caller"
 )
 
@@ -88,7 +89,7 @@
 
 // ManifestActivated passes a new manifest to the router, which matches requests to its
 // routes and knows its API keys.
-func (o *observer) ManifestActivated(m *core.ActiveManifest) {
+func (o *observer) ManifestActivated(m *manifest.Compiled) {
 	o.router.SetManifest(m)
 	metrics.GetOrCreateCounter("celeryshelf_manifest_version").Set(m.Version)
 }
--- a/internal/budget/shares.go
+++ b/internal/budget/shares.go
@@ -31,10 +31,11 @@
 
 // Ratios of the memory that connections may hold.
 const (
-	connBytesRatio    = 0.5
-	headBytesRatio    = 0.22
-	bufferBytesRatio  = 0.16
-	messageBytesRatio = 0.12
+	connBytesRatio   = 0.5
+	headBytesRatio   = 0.22
+	bufferBytesRatio = 0.16
+	readMessageRatio = 0.08
+	sentMessageRatio = 0.04
 	// Of the heads:
 	callerHeadRatio = 0.55
 	nodeHeadRatio   = 0.35
@@ -79,8 +80,9 @@
 	BufferBytes int
 	// ReadAheadBytes limits the long bodies that are read before their target reads them.
 	ReadAheadBytes int
-	// MessageBytes limits the control messages that are being read, in bytes.
-	MessageBytes int
+	// ReadMessageBytes and SentMessageBytes limit the control messages that are being read and
+	// the large ones that are being sent, in bytes.
+	ReadMessageBytes, SentMessageBytes int
 }
 
 // NewShares divides the memory and the descriptors of a process.
@@ -102,7 +104,9 @@
 		Outgoing:       max(minConns, int(outgoingDescriptorRatio*float64(descriptors-reservedDescriptors))),
 		BufferBytes:    int(bufferBytesRatio * memory),
 		ReadAheadBytes: memoryMiB * mebibyte / readAheadDivisor,
-		MessageBytes:   int(messageBytesRatio * memory),
+
+		ReadMessageBytes: int(readMessageRatio * memory),
+		SentMessageBytes: int(sentMessageRatio * memory),
 	}
 }
 
@@ -124,5 +128,5 @@
 func (s Shares) Bytes() int {
 	conns := s.Callers.Conns + s.Nodes.Conns + localListeners*s.Local.Conns + s.Control.Conns
 	heads := s.Callers.HeadBytes + s.Nodes.HeadBytes + localListeners*s.Local.HeadBytes
-	return conns*ConnBytes + heads + s.BufferBytes + s.ReadAheadBytes + s.MessageBytes
+	return conns*ConnBytes + heads + s.BufferBytes + s.ReadAheadBytes + s.ReadMessageBytes + s.SentMessageBytes
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryshelf/core"
+	"celeryshelf/core/manifest"
 	"celeryshelf/core/route"
 )
 
@@ -26,7 +27,12 @@
 type Observer interface {
 	Verdict(v *core.Verdict, a *core.CallArrived)
 	Notice(n core.Notice)
-	ManifestActivated(m *core.ActiveManifest)
+	ManifestActivated(m *manifest.Compiled)
+}
+
+// ManifestDecoder decodes manifests and reports them as events. Decode must not block.
+type ManifestDecoder interface {
+	Decode(encoding []byte)
 }
 
 // Clock returns the time in the reducer's time base.
@@ -41,6 +47,8 @@
 	MessageSender MessageSender
 	StoreExecutor StoreExecutor
 	Observer      Observer
+	// ManifestDecoder may be nil if peers send no manifests.
+	ManifestDecoder ManifestDecoder
 }
 
 // queueItem is an event to apply, a function to run on the state if inspect is set, or the end of
@@ -210,6 +218,9 @@
 	for _, r := range e.StoreRequests {
 		l.StoreExecutor.Submit(r)
 	}
+	if e.EncodedManifest != nil {
+		l.ManifestDecoder.Decode(e.EncodedManifest)
+	}
 	if e.NewManifest != nil {
 		l.Observer.ManifestActivated(e.NewManifest)
 	}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -42,7 +42,7 @@
 func (*testNode) Notice(core.Notice) {}
 
 // ManifestActivated implements control.Observer.
-func (n *testNode) ManifestActivated(m *core.ActiveManifest) { n.router.SetManifest(m) }
+func (n *testNode) ManifestActivated(m *manifest.Compiled) { n.router.SetManifest(m) }
 
 // CallEnded implements relay.Observer.
 func (*testNode) CallEnded(relay.CallSummary) {}
@@ -63,6 +63,15 @@
 	}}
 }
 
+// compiled returns a compiled manifest, which must be valid.
+func compiled(v manifest.Versioned) *manifest.Compiled {
+	c, err := manifest.Compile(v)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 func listen(t *testing.T) *tcp.Listener {
 	l, err := tcp.Listen(t.Context(), tcp.ListenerConfig{Address: netip.MustParseAddrPort("127.0.0.1:0")})
 	if err != nil {
@@ -116,7 +125,7 @@
 	front.loop.Post(&core.MemberStored{Member: back.member})
 	back.loop.Post(&core.MemberStored{Member: front.member})
 	for _, n := range []*testNode{front, back} {
-		n.loop.Post(&core.ManifestStored{Manifest: testManifest()})
+		n.loop.Post(&core.ManifestStored{Manifest: compiled(testManifest())})
 	}
 	awaitManifest(t, front, back)
 	return front, back
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -23,7 +23,7 @@
 	if res, err := http.ReadResponse(r, nil); err != nil || res.StatusCode != http.StatusContinue { //nolint:bodyclose // it has no body
 		t.Fatalf("got response %+v, error %v; want status %d", res, err, http.StatusContinue)
 	}
-	n.loop.Post(&core.ManifestStored{Manifest: testManifest()})
+	n.loop.Post(&core.ManifestStored{Manifest: compiled(testManifest())})
 	awaitManifest(t, n)
 	if _, err := fmt.Fprint(c, "body"); err != nil {
 		t.Fatal(err)
--- a/io/node/codec.go
+++ b/io/node/codec.go
@@ -13,9 +13,9 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// maxMessageBytes limits one control message. The largest one carries a manifest, whose
-// value in the store has at most 1 MiB.
-const maxMessageBytes = 4 << 20
+// maxMessageBytes limits one control message. The largest ones list the shards of all workspaces;
+// a chunk of a manifest has 350 KB. Two fit into the memory for messages on a VM of 284 MiB.
+const maxMessageBytes = 2 << 20
 
 // errMessageTooLarge reports a control message of more than maxMessageBytes.
 var errMessageTooLarge = errors.New("control message is too large")
--- a/io/node/codec_test.go
+++ b/io/node/codec_test.go
@@ -66,7 +66,7 @@
 		`{"from":"n1","body":{"self":{"node":"10.0.0.1:65536"}}}`, `{"from":"n1","body":{"clock":18446744073709551616}}`,
 		`{"from":"n1","body":` + strings.Repeat("[", 100000) + `}`, "\x00", "",
 	} {
-		for _, method := range []string{methodSync, methodConfirmation, methodReport, methodPlan, methodManifestResponse, methodShardUpdate, methodTokenGrant} {
+		for _, method := range []string{methodSync, methodConfirmation, methodReport, methodPlan, methodManifestResponse, methodManifestRequest, methodManifestChunk, methodManifestBusy, methodShardUpdate, methodTokenGrant} {
 			raw := []byte(body)
 			_, _ = decodeFrame(method, (*json.RawMessage)(&raw))
 		}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -44,9 +44,9 @@
 	// MaxConns limits the connections that are dialled, 0 for no limit. Beyond it messages
 	// to further peers are dropped.
 	MaxConns int
-	// MaxMessageBytes limits the memory of the messages that are being read, in bytes, 0 for
-	// no limit.
-	MaxMessageBytes int
+	// MaxReadBytes and MaxSentBytes limit the memory of the messages that are being read and
+	// sent, in bytes, 0 for no limit. A message that has to wait too long is not sent.
+	MaxReadBytes, MaxSentBytes int
 }
 
 // ControlTransport sends control messages to peers and receives theirs.
@@ -55,6 +55,7 @@
 	sink    Sink
 	ctx     context.Context
 	reading *messageLimit
+	sending *sendLimit
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
 	senders sync.WaitGroup
@@ -72,7 +73,7 @@
 
 // NewControlTransport returns a transport that works until the context is done.
 func NewControlTransport(ctx context.Context, c ControlTransportConfig) *ControlTransport {
-	return &ControlTransport{ControlTransportConfig: c, ctx: ctx, peers: map[netip.AddrPort]*peer{}, reading: newMessageLimit(c.MaxMessageBytes)}
+	return &ControlTransport{ControlTransportConfig: c, ctx: ctx, peers: map[netip.AddrPort]*peer{}, reading: newMessageLimit(c.MaxReadBytes), sending: newSendLimit(c.MaxSentBytes)}
 }
 
 // SetSink sets the receiver of events. It must be called once, before Serve and Send.
@@ -180,12 +181,17 @@
 	if err := c.connect(p); err != nil {
 		return err
 	}
-	if c.BytesSent != nil {
-		c.BytesSent.AddSentBytes(len(f.Body))
-	}
 	method := methodOf(e.Body)
 	ctx, cancel := context.WithTimeout(c.ctx, ackTimeout)
 	defer cancel()
+	held, err := c.sending.acquire(ctx, len(f.Body))
+	if err != nil {
+		return fmt.Errorf("send %s: %w", method, err)
+	}
+	defer c.sending.release(held)
+	if c.BytesSent != nil {
+		c.BytesSent.AddSentBytes(len(f.Body))
+	}
 	if method != methodSync {
 		if err := p.conn.Notify(ctx, method, f); err != nil {
 			return fmt.Errorf("notify %s: %w", method, err)
--- a/io/node/fuzz_test.go
+++ b/io/node/fuzz_test.go
@@ -19,6 +19,10 @@
 	} {
 		f.Add(method, []byte(`{"from":"n1","body":{}}`))
 	}
+	f.Add(methodManifestRequest, []byte(`{"from":"n1","body":{"chunks":true,"version":1,"offset":-1}}`))
+	f.Add(methodManifestChunk, []byte(`{"from":"n1","body":{"version":9,"size":9223372036854775807,"offset":-1,"data":"AAAA"}}`))
+	f.Add(methodManifestChunk, []byte(`{"from":"n1","body":{"version":9,"size":3,"data":"AAAA"}}`))
+	f.Add(methodManifestBusy, []byte(`{"from":"n1","body":{}}`))
 	f.Add(methodTokenGrant, []byte(`{"from":"n1","body":{"ask":{"id":1,"shard":{"ws":"w","i":-1,"n":1}},"grant":{"n":9}}}`))
 	f.Add(methodSync, []byte(`{"from":"n1","body":{"self":{"name":"n1","node":"10.0.0.1:0"},"members":[{}]}}`))
 	f.Add(methodSync, []byte(`{"from":"n1","body":{"evac":{"rev":9,"domains":[{"name":"d","rev":18446744073709551615,"age":9223372036854775807}]}}}`))
--- a/io/node/message.go
+++ b/io/node/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 
 	"celeryshelf/core"
 )
@@ -15,6 +16,8 @@
 	methodPlan                 = "plan"
 	methodManifestRequest      = "fetch"
 	methodManifestResponse     = "config"
+	methodManifestChunk        = "chunk"
+	methodManifestBusy         = "busy"
 	methodShardUpdate          = "news"
 	methodShardQuery           = "look"
 	methodTokenRequest         = "ask"
@@ -32,80 +35,45 @@
 	Body json.RawMessage `json:"body"`
 }
 
-// methodOf returns the method of a message, or "" for an unknown type.
-func methodOf(m core.Message) string {
-	switch m.(type) {
-	case *core.Sync:
-		return methodSync
-	case *core.Confirmation:
-		return methodConfirmation
-	case *core.Report:
-		return methodReport
-	case *core.Plan:
-		return methodPlan
-	case *core.ManifestRequest:
-		return methodManifestRequest
-	case *core.ManifestResponse:
-		return methodManifestResponse
-	case *core.ShardUpdate:
-		return methodShardUpdate
-	case *core.ShardQuery:
-		return methodShardQuery
-	case *core.TokenBatchRequest:
-		return methodTokenRequest
-	case *core.TokenGrant:
-		return methodTokenGrant
-	case *core.ClockRequest:
-		return methodClockRequest
-	case *core.ClockResponse:
-		return methodClockResponse
-	case *core.IdempotencyRecord:
-		return methodIdempotencyRecord
-	case *core.IdempotencyRecordAck:
-		return methodIdempotencyRecordAck
-	case *core.Handover:
-		return methodHandover
-	default:
-		return ""
-	}
+// newMessages returns an empty message of the type that belongs to each method.
+var newMessages = map[string]func() core.Message{
+	methodSync:                 func() core.Message { return &core.Sync{} },
+	methodConfirmation:         func() core.Message { return &core.Confirmation{} },
+	methodReport:               func() core.Message { return &core.Report{} },
+	methodPlan:                 func() core.Message { return &core.Plan{} },
+	methodManifestRequest:      func() core.Message { return &core.ManifestRequest{} },
+	methodManifestResponse:     func() core.Message { return &core.ManifestResponse{} },
+	methodManifestChunk:        func() core.Message { return &core.ManifestChunk{} },
+	methodManifestBusy:         func() core.Message { return &core.ManifestBusy{} },
+	methodShardUpdate:          func() core.Message { return &core.ShardUpdate{} },
+	methodShardQuery:           func() core.Message { return &core.ShardQuery{} },
+	methodTokenRequest:         func() core.Message { return &core.TokenBatchRequest{} },
+	methodTokenGrant:           func() core.Message { return &core.TokenGrant{} },
+	methodClockRequest:         func() core.Message { return &core.ClockRequest{} },
+	methodClockResponse:        func() core.Message { return &core.ClockResponse{} },
+	methodIdempotencyRecord:    func() core.Message { return &core.IdempotencyRecord{} },
+	methodIdempotencyRecordAck: func() core.Message { return &core.IdempotencyRecordAck{} },
+	methodHandover:             func() core.Message { return &core.Handover{} },
 }
 
+// methods holds the method of each type of message.
+var methods = func() map[reflect.Type]string {
+	out := make(map[reflect.Type]string, len(newMessages))
+	for method, message := range newMessages {
+		out[reflect.TypeOf(message())] = method
+	}
+	return out
+}()
+
+// methodOf returns the method of a message, or "" for an unknown type.
+func methodOf(m core.Message) string { return methods[reflect.TypeOf(m)] }
+
 // newMessage returns an empty message of the type that belongs to a method, or nil.
 func newMessage(method string) core.Message {
-	switch method {
-	case methodSync:
-		return &core.Sync{}
-	case methodConfirmation:
-		return &core.Confirmation{}
-	case methodReport:
-		return &core.Report{}
-	case methodPlan:
-		return &core.Plan{}
-	case methodManifestRequest:
-		return &core.ManifestRequest{}
-	case methodManifestResponse:
-		return &core.ManifestResponse{}
-	case methodShardUpdate:
-		return &core.ShardUpdate{}
-	case methodShardQuery:
-		return &core.ShardQuery{}
-	case methodTokenRequest:
-		return &core.TokenBatchRequest{}
-	case methodTokenGrant:
-		return &core.TokenGrant{}
-	case methodClockRequest:
-		return &core.ClockRequest{}
-	case methodClockResponse:
-		return &core.ClockResponse{}
-	case methodIdempotencyRecord:
-		return &core.IdempotencyRecord{}
-	case methodIdempotencyRecordAck:
-		return &core.IdempotencyRecordAck{}
-	case methodHandover:
-		return &core.Handover{}
-	default:
-		return nil
+	if message, ok := newMessages[method]; ok {
+		return message()
 	}
+	return nil
 }
 
 func encodeFrame(from string, m core.Message) (frame, error) {
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -122,7 +122,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &core.ManifestStored{Manifest: m}, nil
+	return compileManifest(m), nil
+}
+
+// compileManifest returns the event for a manifest, which may not be valid.
+func compileManifest(m manifest.Versioned) core.Event {
+	c, err := manifest.Compile(m)
+	if err == nil {
+		return &core.ManifestStored{Manifest: c}
+	}
+	return &core.ManifestRejected{Version: m.Version, Detail: err.Error()}
 }
 
 func decodeMember(name string, c Change) (core.Event, error) {
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -109,7 +109,7 @@
 	for _, p := range pairs {
 		switch e := s.decode(Change{Key: p.Key, Value: p.Value}).(type) {
 		case *core.ManifestStored:
-			out.Manifest = &e.Manifest
+			out.Manifest = e.Manifest
 		case *core.MemberStored:
 			out.Members = append(out.Members, e.Member)
 		case *core.CostsStored:
