core: admission classes without a list of all priorities

A manifest with many workspaces and many routes, well below 1 MiB, stopped the control thread, and with it all calls of the node, while it became active: the classes were found by listing the priority of each pair of a workspace and a route.

The priorities of workspaces and of routes are now kept apart and sorted; the class of a pair follows from its position in both lists.

TestClassesAreThoseOfAllPriorities compares the classes with the former list; they are the same.

--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -1,14 +1,10 @@
 package core
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"celeryshelf/core/admit"
 	"celeryshelf/core/manifest"
 	"celeryshelf/core/quota"
 )
@@ -20,54 +16,13 @@
 	routes     map[string]*manifest.Route
 	meanRate   float64 // of all workspaces; the weight of calls without a workspace
 	salt       uint64  // the same on all nodes and unknown to callers, who could otherwise choose IDs that rank high
-	classes    map[callPriority]uint8
+	classes    priorityClasses
 	topClass   uint8 // highest value in classes
 }
 
-// callPriority orders calls by the workspace's priority, then by the route's.
-type callPriority struct {
-	workspace, route int // 0 is the highest priority
-}
-
-func (p callPriority) compare(o callPriority) int {
-	return cmp.Or(cmp.Compare(p.workspace, o.workspace), cmp.Compare(p.route, o.route))
-}
-
-func priorityOf(w *manifest.Workspace, r *manifest.Route) callPriority {
-	p := callPriority{route: 1}
-	switch {
-	case r.Priority != nil:
-		p.route = *r.Priority
-	case r.Important:
-		p.route = 0
-	}
-	if w != nil && w.Priority != nil {
-		p.workspace = *w.Priority
-	}
-	return p
-}
-
-// assignClasses maps the priorities that occur under the manifest to classes, the lowest
-// priority to class 0. If there are more than admit.Classes, neighbors share a class.
-func (idx *manifestIndex) assignClasses() {
-	idx.classes = map[callPriority]uint8{{route: 0}: 0, {route: 1}: 0}
-	m := &idx.source.Manifest
-	for i := range m.Routes {
-		idx.classes[priorityOf(nil, &m.Routes[i])] = 0
-		for j := range m.Workspaces {
-			idx.classes[priorityOf(&m.Workspaces[j], &m.Routes[i])] = 0
-		}
-	}
-	order := slices.SortedFunc(maps.Keys(idx.classes), func(a, b callPriority) int { return b.compare(a) })
-	for i, p := range order {
-		idx.classes[p] = uint8(i * min(admit.Classes, len(order)) / len(order))
-		idx.topClass = idx.classes[p]
-	}
-}
-
 // class returns the admission class of a workspace's calls on a route.
 func (idx *manifestIndex) class(workspace string, r *manifest.Route) uint8 {
-	return idx.classes[priorityOf(idx.workspaces[workspace], r)]
+	return idx.classes.class(priorityOf(idx.workspaces[workspace], r))
 }
 
 func newManifestIndex(v *manifest.Compiled) *manifestIndex {
@@ -91,7 +46,8 @@
 	for i := range m.Routes {
 		idx.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
-	idx.assignClasses()
+	idx.classes = newPriorityClasses(m)
+	idx.topClass = idx.classes.top()
 	return idx
 }
 
