core: a read of an older copy does not confirm the manifest

After the store has come back from an older copy, a node could accept a key that a lost version had withdrawn: the node had version 5 and had missed 6, the copy showed 4, and as 4 is not newer than 5 the read counted as proof that 5 was the newest, until the operators' write was repeated.

A version older than the one that the node had when the read began can only come from an older copy, as reads are linearizable. It confirms nothing then; if the operators write late, keys are refused as isolated.

TestOlderCopyDoesNotConfirmTheManifest: the read of the copy and that by a peer fail before; reads after the operators' write and reads that began before the node had its version confirm as before.

--- a/core/confirmation.go
+++ b/core/confirmation.go
@@ -80,8 +80,13 @@
 }
 
 // advanceConfirmedAt applies the statement that version was the newest at the given time. If
-// this node has that version or a newer one, its manifest was up to date then.
+// this node has that version or a newer one, its manifest was up to date then. A version that is
+// older than the one that the node had at that time is from an older copy of the store, which may
+// lack a version that the node has not seen.
 func (s *State) advanceConfirmedAt(version uint64, at time.Time) {
+	if version < s.manifestVersion() && at.After(s.manifestActiveSince) {
+		return
+	}
 	if s.manifestVersion() >= version && at.After(s.manifestConfirmedAt) {
 		s.manifestConfirmedAt = at
 	}
--- a/core/manifest_index.go
+++ b/core/manifest_index.go
@@ -91,7 +91,7 @@
 	if s.manifest != nil {
 		replaced = s.manifest.source
 	}
-	s.manifest = newManifestIndex(v)
+	s.manifest, s.manifestActiveSince = newManifestIndex(v), now
 	s.applyAllowances(now)
 	s.configureWarmup(now)
 	s.self.ManifestVersion = v.Version
--- a/core/state.go
+++ b/core/state.go
@@ -76,6 +76,7 @@
 	storeEra        storeEra
 
 	confirmationHeardAt time.Time // when a peer last sent a Confirmation
+	manifestActiveSince time.Time // when the active manifest became active
 	manifestConfirmedAt time.Time // last time at which the active manifest was known to be the newest
 	maxStaleness        time.Duration
 	startAnnounced      bool
--- a/core/store_era_test.go
+++ b/core/store_era_test.go
@@ -125,6 +125,39 @@
 	}
 }
 
+// TestOlderCopyDoesNotConfirmTheManifest guards against a key that was withdrawn by a version
+// that the node has not seen: the store has come back from a copy that lacks this version and the
+// one that the node has.
+func TestOlderCopyDoesNotConfirmTheManifest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name   string
+		event  func(at time.Time) Event
+		read   time.Duration // from the start of version 2 to the read
+		reason Reason
+	}{
+		{"read of the copy", func(at time.Time) Event { return &ManifestConfirmed{Version: 1, At: at} }, testMaxStaleness, ReasonIsolated},
+		{"read by a peer", func(at time.Time) Event {
+			return &MessageReceived{From: "n1", Body: &Confirmation{Version: 1, RequesterUptime: at.Sub(now)}}
+		}, testMaxStaleness, ReasonIsolated},
+		{"read after the operators have written again", func(at time.Time) Event { return &ManifestConfirmed{Version: 2, At: at} }, testMaxStaleness, ReasonNone},
+		{"read that began before version 2 was known", func(at time.Time) Event { return &ManifestConfirmed{Version: 1, At: at} }, -time.Millisecond, ReasonNone},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := confirmedNode(now)
+			since := now.Add(time.Second)
+			v := testManifest(0, 1)
+			v.Version = 2
+			s.Step(since, &ManifestStored{Manifest: compiled(v)})
+			at := since.Add(tt.read)
+			s.Step(since.Add(testMaxStaleness), tt.event(at))
+			if got := refusalOfKeyedCall(s, at.Add(testMaxStaleness-time.Millisecond), 1); got != tt.reason {
+				t.Errorf("got %s, want %s", got, tt.reason)
+			}
+		})
+	}
+}
+
 // TestAbsurdEraOfAPeerIsIgnored guards against a peer whose word hides the next return of the
 // store, or makes a node write to the store again and again.
 func TestAbsurdEraOfAPeerIsIgnored(t *testing.T) {
