io/store: a renewal does not take up a lease that was given up

A node could go on with a shard lease that it had given up because the store came back from an older copy: the response to a renewal that was on its way set the lease again, as a fresh one.

A renewal now extends only the lease that is held. TestLeaseRenewedBeforeTheReturnIsNotUsed fails before.

--- a/io/store/era_test.go
+++ b/io/store/era_test.go
@@ -110,6 +110,32 @@
 	return 1, nil
 }
 
+// KeepAlive renews a lease.
+func (c *returningClient) KeepAlive(context.Context, int64) (time.Duration, error) {
+	c.during()
+	return time.Second, nil
+}
+
+// TestLeaseRenewedBeforeTheReturnIsNotUsed guards against a renewal that takes up a lease again
+// that was given up while its response was on the way.
+func TestLeaseRenewedBeforeTheReturnIsNotUsed(t *testing.T) {
+	c := &returningClient{during: func() {}}
+	s, _, _ := newEraSession(t, c)
+	if _, err := s.claims.acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	c.during = func() { s.handleEra(2) }
+	s.claims.renew(ctx)
+	if s.claims.current() != 0 {
+		t.Error("the lease is used")
+	}
+	if ctx.Err() != nil {
+		t.Error("the lease is renewed on")
+	}
+}
+
 // TestReadIsRepeatedInANewEra guards against a watch that goes on from a revision of the era
 // before, which the store gives out again.
 func TestReadIsRepeatedInANewEra(t *testing.T) {
--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -106,7 +106,7 @@
 			return
 		case err == nil:
 			wait, try = k.interval, 0
-			k.set(lease, start.Add(ttl))
+			k.extend(lease, start.Add(ttl))
 		case k.clock.Now().After(until) && try > renewalsPerTTL:
 			// Whether a lease that is past its expiry still exists is known only
 			// to the store. Acquiring a new lease is simpler and as safe.
@@ -191,12 +191,14 @@
 	return true
 }
 
-func (k *leaseKeeper) set(lease int64, until time.Time) {
+// extend records the renewal of a lease, unless it has been given up meanwhile.
+func (k *leaseKeeper) extend(lease int64, until time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	fresh := k.lease != lease
-	k.lease, k.until = lease, until
-	k.onHeld(until, fresh)
+	if k.lease == lease {
+		k.until = until
+		k.onHeld(until, false)
+	}
 }
 
 func (k *leaseKeeper) clear() {
--- a/io/store/lease_test.go
+++ b/io/store/lease_test.go
@@ -39,7 +39,7 @@
 		s, _ := newClaimSession(t, &claimClient{})
 		sink := &orderedSink{}
 		s.SetSink(sink)
-		s.claims.set(2, time.Now().Add(time.Second))
+		s.claims.setGranted(2, time.Now(), 0)
 		var group sync.WaitGroup
 		group.Go(func() { s.reportClaims(2, claims, true) })
 		group.Go(s.claims.clear)
--- a/io/store/session_test.go
+++ b/io/store/session_test.go
@@ -190,7 +190,7 @@
 func TestClaimsPauseWhileTheStoreIsAway(t *testing.T) {
 	c := &claimClient{fail: errors.New("store is away")}
 	s, _ := newClaimSession(t, c)
-	s.claims.set(2, time.Now().Add(time.Second))
+	s.claims.setGranted(2, time.Now(), 0)
 	for range 20 {
 		_ = s.claimShards(t.Context(), []*core.ClaimShard{{Shard: quota.Shard{Workspace: "w", Count: 1}}})
 	}
