core, core/manifest: short details of rejected manifests, one buffer for a transfer

The notice of a rejected manifest repeated all violations, which in one of 1 MiB may be any number. It now has the first and the number of the others (TestSummaryIsShort). The buffer of a transfer is made once, in the size that the first chunk names and that is bounded.

--- a/core/manifest/compiled_test.go
+++ b/core/manifest/compiled_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// TestSummaryIsShort guards against a log line as long as a large manifest in which every entry
+// breaks a rule.
+func TestSummaryIsShort(t *testing.T) {
+	v := compiledExample(0)
+	for range 10_000 {
+		v.Manifest.Services = append(v.Manifest.Services, Service{})
+	}
+	_, err := Compile(v)
+	if got, want := Summary(err), "manifest:/services/1/name: must not be empty (and 9999 more)"; got != want {
+		t.Errorf("got %.200q, want %q", got, want)
+	}
+	if got := Summary(errEncoding); got != errEncoding.Error() {
+		t.Errorf("got %q, want the message of the error", got)
+	}
+}
+
 // brokenEncodings returns bytes that are no encoding, by what is wrong with them.
 func brokenEncodings() map[string][]byte {
 	c, err := Compile(compiledExample(2, 3))
--- a/core/manifest/violation.go
+++ b/core/manifest/violation.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "strings"
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
 
 // ValidationError reports all violations in one document.
 type ValidationError struct {
@@ -17,6 +21,16 @@
 	return strings.Join(lines, "\n")
 }
 
+// Summary returns the message of an error, for a ValidationError that of its first violation and
+// the number of the others: a large manifest may have any number of them.
+func Summary(err error) string {
+	var e *ValidationError
+	if !errors.As(err, &e) || len(e.Violations) < 2 {
+		return err.Error()
+	}
+	return fmt.Sprintf("%s:%s (and %d more)", e.File, e.Violations[0].Error(), len(e.Violations)-1)
+}
+
 // Violation is a broken rule with the location in the document that breaks it.
 type Violation struct {
 	Path string `json:"path"` // JSON pointer
--- a/core/manifest_transfer.go
+++ b/core/manifest_transfer.go
@@ -44,9 +44,12 @@
 	if d.version == 0 {
 		d.version, d.size, d.checksum = m.Version, m.Size, m.Checksum
 	}
-	if len(m.Data) == d.size {
+	switch {
+	case len(m.Data) == d.size:
 		d.data = m.Data
-	} else {
+	case d.data == nil:
+		d.data = append(make([]byte, 0, d.size), m.Data...)
+	default:
 		d.data = append(d.data, m.Data...)
 	}
 	d.waitingSince = now
@@ -89,7 +92,7 @@
 	}
 	c, err := manifest.Compile(m.Manifest)
 	if err != nil {
-		s.addNotice(Notice{Kind: NoticeManifestRejected, Peer: from, Version: m.Manifest.Version, Detail: err.Error()})
+		s.addNotice(Notice{Kind: NoticeManifestRejected, Peer: from, Version: m.Manifest.Version, Detail: manifest.Summary(err)})
 		return
 	}
 	s.applyManifest(now, c)
@@ -99,16 +102,16 @@
 func (s *State) handleManifestDecoded(now time.Time, e *ManifestDecoded) {
 	d := s.distribution.download
 	s.distribution.download = download{}
-	switch {
-	case e.Manifest != nil && e.Manifest.Version == d.version && e.Manifest.Checksum() == d.checksum:
+	if e.Manifest != nil && e.Manifest.Version == d.version && e.Manifest.Checksum() == d.checksum {
 		s.applyManifest(now, e.Manifest)
-	case e.Manifest != nil:
-		e.Error = "version or checksum differs from that of the chunks"
-		fallthrough
-	default:
-		s.addNotice(Notice{Kind: NoticeManifestRejected, Peer: d.from, Version: d.version, Detail: e.Error})
-		s.distribution.retryAt = now.Add(manifestRequestInterval)
+		return
+	}
+	detail := e.Error
+	if e.Manifest != nil {
+		detail = "version or checksum differs from that of the chunks"
 	}
+	s.addNotice(Notice{Kind: NoticeManifestRejected, Peer: d.from, Version: d.version, Detail: detail})
+	s.distribution.retryAt = now.Add(manifestRequestInterval)
 }
 
 // handleManifestBusy asks again later, and perhaps another peer.
--- a/internal/agent/manifest_decoder.go
+++ b/internal/agent/manifest_decoder.go
@@ -17,7 +17,7 @@
 	go func() {
 		m, err := manifest.Decode(encoding)
 		if err != nil {
-			d.loop.Post(&core.ManifestDecoded{Error: err.Error()})
+			d.loop.Post(&core.ManifestDecoded{Error: manifest.Summary(err)})
 			return
 		}
 		d.loop.Post(&core.ManifestDecoded{Manifest: m})
--- a/io/store/layout.go
+++ b/io/store/layout.go
@@ -131,7 +131,7 @@
 	if err == nil {
 		return &core.ManifestStored{Manifest: c}
 	}
-	return &core.ManifestRejected{Version: m.Version, Detail: err.Error()}
+	return &core.ManifestRejected{Version: m.Version, Detail: manifest.Summary(err)}
 }
 
 func decodeMember(name string, c Change) (core.Event, error) {
