--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,8 +71,7 @@
 // Config holds the dependencies and parameters of an Agent.
 type Config struct {
 	Self member.Member
-	// The addresses to listen on for calls and control messages of other nodes; those in
-	// Self if zero.
+	// Addresses to listen on for calls and control messages of other nodes, those in Self if zero.
 	NodeListenAddr, ControlListenAddr netip.AddrPort
 	SeedAddresses                     []netip.AddrPort   // see core.Settings
 	TargetHeartbeats                  bool               // see core.Settings
