core/quota: the pools of workspaces are sorted once

Cause: SetAllowance sorted all pools again with each workspace that it added (seen in the stacks of a node that stood still). They are now sorted when they are next needed in order.

TestManyRateLimitedWorkspacesBecomeActiveSoon is not done after the bound of 2 s before; with its setup it takes 0.20 s now.

--- a/core/priority_classes_test.go
+++ b/core/priority_classes_test.go
@@ -65,16 +65,35 @@
 		v.Manifest.Workspaces = append(v.Manifest.Workspaces, manifest.Workspace{Name: fmt.Sprint(i), Priority: &i})
 		v.Manifest.Routes = append(v.Manifest.Routes, manifest.Route{Name: fmt.Sprint(i), Path: fmt.Sprint("/", i), Service: "maps", Priority: &i, Timeout: manifest.Duration{Duration: time.Second}})
 	}
-	m := compiled(v)
+	checkActivation(t, compiled(v))
+}
+
+// TestManyRateLimitedWorkspacesBecomeActiveSoon guards against a control thread that stands still
+// because the pools of all workspaces are sorted again with each one that is added.
+func TestManyRateLimitedWorkspacesBecomeActiveSoon(t *testing.T) {
+	const workspaces = 60_000 // in 1 MiB
+	v := manifest.Versioned{Version: 1}
+	for i := range workspaces {
+		v.Manifest.Workspaces = append(v.Manifest.Workspaces, manifest.Workspace{Name: fmt.Sprint(i), Rate: 9, Burst: 9})
+	}
+	checkActivation(t, compiled(v))
+}
+
+// checkActivation fails the test if a node does not use a manifest in time.
+func checkActivation(t *testing.T, m *manifest.Compiled) {
+	t.Helper()
 	s := New(Settings{Self: testMember(0)})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.Step(time.Unix(1000, 0), &ManifestStored{Manifest: m})
+		now := time.Unix(1000, 0)
+		s.Step(now, &StoreReachability{Reachable: true})
+		s.Step(now, &ManifestStored{Manifest: m})
+		s.Step(now.Add(time.Second), &Tick{})
 	}()
 	select {
 	case <-done:
 	case <-time.After(configBound):
-		t.Errorf("a manifest with %d workspaces and as many routes is not active after %s", entries, configBound)
+		t.Errorf("a manifest with %d workspaces and %d routes is not active after %s", len(m.Manifest.Workspaces), len(m.Manifest.Routes), configBound)
 	}
 }
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -98,7 +98,7 @@
 // TokenPool holds the tokens granted to this node and the calls that wait for tokens.
 type TokenPool struct {
 	pools    map[string]*workspacePool
-	order    []*workspacePool // by workspace
+	order    []*workspacePool // by workspace, nil after a change; see ordered
 	nextID   uint64
 	requests []BatchRequest
 }
@@ -113,7 +113,7 @@
 	if !ok {
 		p = &workspacePool{workspace: workspace}
 		t.pools[workspace] = p
-		t.sortPools()
+		t.order = nil
 	}
 	if p.allowance == a {
 		return
@@ -130,7 +130,7 @@
 // their waiting calls.
 func (t *TokenPool) RemoveUndeclared(declared func(workspace string) bool) []uint64 {
 	var calls []uint64
-	for _, p := range t.order {
+	for _, p := range t.ordered() {
 		if declared(p.workspace) {
 			continue
 		}
@@ -139,14 +139,19 @@
 		}
 		delete(t.pools, p.workspace)
 	}
-	t.sortPools()
+	t.order = nil
 	return calls
 }
 
-func (t *TokenPool) sortPools() {
-	t.order = slices.SortedFunc(maps.Values(t.pools), func(a, b *workspacePool) int {
-		return strings.Compare(a.workspace, b.workspace)
-	})
+// ordered returns the pools by workspace. They are sorted here and not with each change: a
+// manifest may declare many workspaces at once.
+func (t *TokenPool) ordered() []*workspacePool {
+	if t.order == nil {
+		t.order = slices.SortedFunc(maps.Values(t.pools), func(a, b *workspacePool) int {
+			return strings.Compare(a.workspace, b.workspace)
+		})
+	}
+	return t.order
 }
 
 // NextRequest removes and returns one of the batch requests that the preceding
@@ -284,7 +289,7 @@
 
 // HasWaiters reports whether any call waits for a token.
 func (t *TokenPool) HasWaiters() bool {
-	for _, p := range t.order {
+	for _, p := range t.ordered() {
 		if len(p.waiters) > 0 {
 			return true
 		}
@@ -305,7 +310,7 @@
 // batch requests, appends to denied the calls that have waited too long, and requests
 // tokens.
 func (t *TokenPool) Tick(now time.Time, denied []uint64) []uint64 {
-	for _, p := range t.order {
+	for _, p := range t.ordered() {
 		p.updateDemand(now)
 		p.expireRequests(now)
 		denied = p.expireWaiters(now, denied)
