core: the order of priorities is needed by its test only

Since admission classes follow from sorted lists, callPriority.compare is called only by the enumeration that TestClassesAreThoseOfAllPriorities compares them with. It moves there; the assertions are the same.

--- a/core/priority_classes.go
+++ b/core/priority_classes.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"slices"
 
 	"celeryshelf/core/admit"
@@ -13,10 +12,6 @@
 	workspace, route int // 0 is the highest priority
 }
 
-func (p callPriority) compare(o callPriority) int {
-	return cmp.Or(cmp.Compare(p.workspace, o.workspace), cmp.Compare(p.route, o.route))
-}
-
 // priorityOf returns the priority of calls on a route. The workspace is nil for calls of none.
 func priorityOf(w *manifest.Workspace, r *manifest.Route) callPriority {
 	p := callPriority{route: routePriority(r)}
@@ -76,8 +71,8 @@
 	return (len(c.workspaces)-1)*len(c.routes) + len(c.defaultRoutes)
 }
 
-// class returns the class of a priority that occurs under the manifest. The lowest has class 0. If there
-// are more priorities than admit.Classes, neighbors share a class.
+// class returns the class of a priority that occurs under the manifest. The lowest has class 0. If
+// there are more priorities than admit.Classes, neighbors share a class.
 func (c *priorityClasses) class(p callPriority) uint8 {
 	before, _ := slices.BinarySearch(c.workspaces, p.workspace)
 	higher := before * len(c.routes)
--- a/core/priority_classes_test.go
+++ b/core/priority_classes_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,6 +14,10 @@
 	"celeryshelf/core/manifest"
 )
 
+func (p callPriority) compare(o callPriority) int {
+	return cmp.Or(cmp.Compare(p.workspace, o.workspace), cmp.Compare(p.route, o.route))
+}
+
 // enumeratedClasses returns the class of each priority that occurs, by listing all of them.
 func enumeratedClasses(m *manifest.Manifest) map[callPriority]uint8 {
 	classes := map[callPriority]uint8{{route: 0}: 0, {route: 1}: 0}
